--- a/src/main/java/cedarhaven/Dispatch.java
+++ b/src/main/java/damsonslip/Dispatch.java
@@ -1,4 +1,4 @@
-package cedarhaven;
+package damsonslip;
 
 import java.util.List;
 
--- a/src/main/java/cedarhaven/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -1,7 +1,7 @@
-package cedarhaven;
+package damsonslip;
 
-import cedarhaven.Dispatch.JobArrived;
-import cedarhaven.Dispatch.JobClass;
+import damsonslip.Dispatch.JobArrived;
+import damsonslip.Dispatch.JobClass;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
--- a/src/main/java/cedarhaven/Ring.java
+++ b/src/main/java/damsonslip/Ring.java
@@ -1,6 +1,6 @@
-package cedarhaven;
+package damsonslip;
 
-import cedarhaven.Known.Worker;
+import damsonslip.Known.Worker;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
--- a/src/main/java/cedarhaven/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -1,8 +1,8 @@
-package cedarhaven;
+package damsonslip;
 
-import cedarhaven.Dispatch.*;
-import cedarhaven.Known.*;
-import cedarhaven.Known.Worker;
+import damsonslip.Dispatch.*;
+import damsonslip.Known.*;
+import damsonslip.Known.Worker;
 import java.util.*;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
--- a/src/main/java/cedarhaven/simhost/BadInput.java
+++ b/src/main/java/damsonslip/simhost/BadInput.java
@@ -1,4 +1,4 @@
-package cedarhaven.simhost;
+package damsonslip.simhost;
 
 /** Input that cannot be acted on; the message is one line that says what is wrong. */
 final class BadInput extends Exception {
--- a/src/main/java/cedarhaven/simhost/SettingsReader.java
+++ b/src/main/java/damsonslip/simhost/SettingsReader.java
@@ -1,12 +1,12 @@
-package cedarhaven.simhost;
+package damsonslip.simhost;
 
-import cedarhaven.Dispatch.Effect;
-import cedarhaven.Dispatch.Group;
-import cedarhaven.Dispatch.Guarantees;
-import cedarhaven.Dispatch.JobClass;
-import cedarhaven.Dispatch.Limits;
-import cedarhaven.Dispatch.Reporting;
-import cedarhaven.Dispatch.Settings;
+import damsonslip.Dispatch.Effect;
+import damsonslip.Dispatch.Group;
+import damsonslip.Dispatch.Guarantees;
+import damsonslip.Dispatch.JobClass;
+import damsonslip.Dispatch.Limits;
+import damsonslip.Dispatch.Reporting;
+import damsonslip.Dispatch.Settings;
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/main/java/cedarhaven/simhost/WireLine.java
+++ b/src/main/java/damsonslip/simhost/WireLine.java
@@ -1,18 +1,18 @@
-package cedarhaven.simhost;
-
-import cedarhaven.Dispatch;
-import cedarhaven.Dispatch.AttemptEnded;
-import cedarhaven.Dispatch.AttemptStarted;
-import cedarhaven.Dispatch.Event;
-import cedarhaven.Dispatch.JobArrived;
-import cedarhaven.Dispatch.JobGone;
-import cedarhaven.Dispatch.ListMode;
-import cedarhaven.Dispatch.ListUpdate;
-import cedarhaven.Dispatch.Outcome;
-import cedarhaven.Dispatch.ProbeEnded;
-import cedarhaven.Dispatch.Report;
-import cedarhaven.Dispatch.Status;
-import cedarhaven.Dispatch.TimerDue;
+package damsonslip.simhost;
+
+import damsonslip.Dispatch;
+import damsonslip.Dispatch.AttemptEnded;
+import damsonslip.Dispatch.AttemptStarted;
+import damsonslip.Dispatch.Event;
+import damsonslip.Dispatch.JobArrived;
+import damsonslip.Dispatch.JobGone;
+import damsonslip.Dispatch.ListMode;
+import damsonslip.Dispatch.ListUpdate;
+import damsonslip.Dispatch.Outcome;
+import damsonslip.Dispatch.ProbeEnded;
+import damsonslip.Dispatch.Report;
+import damsonslip.Dispatch.Status;
+import damsonslip.Dispatch.TimerDue;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/src/test/java/cedarhaven/SizeTest.java
+++ b/src/test/java/damsonslip/SizeTest.java
@@ -1,4 +1,4 @@
-package cedarhaven;
+package damsonslip;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -12,7 +12,7 @@
 class SizeTest {
     @Test
     void rulesStayWithinTheirLines() throws IOException {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/cedarhaven/Rules.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/damsonslip/Rules.java"));
         long filled = lines.stream().filter(line -> !line.isBlank()).count();
         assertTrue(filled <= 850, filled + " lines");
         assertTrue(lines.stream().allMatch(line -> line.length() <= 110), "no line over 110 characters");
--- a/src/test/java/cedarhaven/ThresholdTest.java
+++ b/src/test/java/damsonslip/ThresholdTest.java
@@ -1,4 +1,4 @@
-package cedarhaven;
+package damsonslip;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
--- a/src/test/java/cedarhaven/simhost/SimHostTest.java
+++ b/src/test/java/damsonslip/simhost/SimHostTest.java
@@ -1,4 +1,4 @@
-package cedarhaven.simhost;
+package damsonslip.simhost;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
