--- /dev/null
+++ b/src/main/java/damsonslip/core/Counters.java
@@ -0,0 +1,38 @@
+package damsonslip.core;
+
+import java.util.Locale;
+import java.util.concurrent.atomic.AtomicLongArray;
+
+/** What the program has taken in, sent and answered since its start. */
+public final class Counters {
+    /** Each thing that is counted. */
+    public enum Count {
+        QUERIES_TAKEN, QUERIES_BAD, QUERIES_GONE,
+        ANSWERS_SERVED, ANSWERS_THROTTLED, ANSWERS_FAILED,
+        EXECUTIONS_SENT, EXECUTIONS_SERVED, EXECUTIONS_ERROR, EXECUTIONS_FULL, EXECUTIONS_TIMED_OUT,
+        EXECUTIONS_NOT_CONNECTED, EXECUTIONS_RESET, EXECUTIONS_CANCELLED, EXECUTIONS_NEVER_SENT,
+        PROBES_SENT, SERVER_LINKS_OPENED, CLIENT_LINKS_OPENED, LIST_UPDATES, LIST_FAILURES, DRAINED_SENDS_STOPPED
+    }
+
+    private final AtomicLongArray counts = new AtomicLongArray(Count.values().length);
+
+    public void add(Count count) {
+        counts.incrementAndGet(count.ordinal());
+    }
+
+    public long get(Count count) {
+        return counts.get(count.ordinal());
+    }
+
+    /** One line of {@code name=value}, without what never happened. */
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder("counters");
+        for (Count count : Count.values()) {
+            if (get(count) > 0) {
+                text.append(' ').append(count.name().toLowerCase(Locale.ROOT)).append('=').append(get(count));
+            }
+        }
+        return text.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/core/Exchange.java
@@ -0,0 +1,47 @@
+package damsonslip.core;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A query, its executions and its one final answer: the only place where the client side and the server side
+ * of the program meet.
+ */
+public final class Exchange {
+    private final Query query;
+    private final Asker asker;
+    final List<Execution> executions = new ArrayList<>(1);
+    int outstanding;
+    private boolean closed;
+
+    Exchange(Query query, Asker asker) {
+        this.query = query;
+        this.asker = asker;
+    }
+
+    public Query query() {
+        return query;
+    }
+
+    /** Whether the final answer is given, or the client has gone. */
+    public boolean closed() {
+        return closed;
+    }
+
+    /** Gives the final answer; tells false, and does nothing, if there is one already. */
+    boolean finish(Answer answer) {
+        if (closed) {
+            return false;
+        }
+        closed = true;
+        asker.answer(answer);
+        return true;
+    }
+
+    /** The client has gone: nothing is owed any more. */
+    boolean abandon() {
+        boolean was = closed;
+        closed = true;
+        return !was;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/core/Execution.java
@@ -0,0 +1,63 @@
+package damsonslip.core;
+
+import damsonslip.Dispatch.Outcome;
+import damsonslip.Dispatch.Report;
+
+/** One attempt to have a query done by a worker. */
+public final class Execution {
+    final Exchange exchange;
+    final int number;
+    private final String worker;
+    private final long sentUs;
+    private final long endsByUs;
+    Loop.Timer timeout;
+    boolean open = true;
+
+    Execution(Exchange exchange, int number, String worker, long sentUs, long endsByUs) {
+        this.exchange = exchange;
+        this.number = number;
+        this.worker = worker;
+        this.sentUs = sentUs;
+        this.endsByUs = endsByUs;
+    }
+
+    public Query query() {
+        return exchange.query();
+    }
+
+    /** How many executions of the same query came before. */
+    public int number() {
+        return number;
+    }
+
+    public String worker() {
+        return worker;
+    }
+
+    public long sentUs() {
+        return sentUs;
+    }
+
+    /** When the scheduler stops waiting for it. */
+    public long endsByUs() {
+        return endsByUs;
+    }
+
+    /** Whether its end is still awaited. */
+    public boolean open() {
+        return open;
+    }
+
+    /**
+     * How an execution ended.
+     *
+     * @param outcome what is proved by it
+     * @param report  the worker's load, or null
+     * @param result  what the worker gave, where it served
+     */
+    public record End(Outcome outcome, Report report, String result) {
+        public static End of(Outcome outcome) {
+            return new End(outcome, null, null);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/core/Loop.java
@@ -0,0 +1,74 @@
+package damsonslip.core;
+
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The one thread on which everything is decided, and its clock: microseconds since 1970 that never go backwards.
+ * State that is touched only from here needs no locks.
+ */
+public final class Loop {
+    private static final Logger LOG = LoggerFactory.getLogger(Loop.class);
+    private final long epochUs = System.currentTimeMillis() * 1000;
+    private final long nanosAtEpoch = System.nanoTime();
+    private final ScheduledThreadPoolExecutor thread = new ScheduledThreadPoolExecutor(1, task -> {
+        Thread t = new Thread(task, "damsonslip");
+        t.setDaemon(false);
+        return t;
+    });
+
+    public Loop() {
+        thread.setRemoveOnCancelPolicy(true);
+        thread.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
+    }
+
+    public long now() {
+        return epochUs + (System.nanoTime() - nanosAtEpoch) / 1000;
+    }
+
+    public void execute(Runnable task) {
+        if (!thread.isShutdown()) {
+            thread.execute(guarded(task));
+        }
+    }
+
+    /** A timer that can be called off; a time that has passed means as soon as possible. */
+    public Timer at(long timeUs, Runnable task) {
+        if (thread.isShutdown()) {
+            return () -> { };
+        }
+        var set = thread.schedule(guarded(task), Math.max(0, timeUs - now()), TimeUnit.MICROSECONDS);
+        return () -> set.cancel(false);
+    }
+
+    public Timer in(long us, Runnable task) {
+        return at(now() + us, task);
+    }
+
+    /** The thread itself, for a library that keeps its own timers. */
+    public ScheduledThreadPoolExecutor executor() {
+        return thread;
+    }
+
+    public void stop() {
+        thread.shutdown();
+    }
+
+    /** Guards against one faulty event taking the thread, and with it every other query, down. */
+    private static Runnable guarded(Runnable task) {
+        return () -> {
+            try {
+                task.run();
+            } catch (RuntimeException e) {
+                LOG.error("a task failed and was dropped", e);
+            }
+        };
+    }
+
+    /** A timer that was set. */
+    public interface Timer {
+        void cancel();
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/core/Query.java
@@ -0,0 +1,17 @@
+package damsonslip.core;
+
+/**
+ * What a client asks for, in the core's words.
+ *
+ * @param id         the client's id of it, which no other open query has
+ * @param jobClass   the index of its class
+ * @param deadlineUs when the client gives up, on the {@link Loop}'s clock
+ * @param slots      the slots that it takes at a worker
+ * @param memory     the units of memory that it takes
+ * @param subject    what it concerns, or null
+ * @param cargo      what the front passes on to a worker; the core does not look into it
+ */
+public record Query(String id, int jobClass, long deadlineUs, int slots, double memory, Long subject, Cargo cargo) {
+    /** A front's own form of a query's content. */
+    public interface Cargo { }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/core/WorkerSide.java
@@ -0,0 +1,19 @@
+package damsonslip.core;
+
+/**
+ * The server side: a port that a front implements. What comes of it is told to the {@link Driver}, from the
+ * {@link Loop}; each execution that is started ends once, unless it was cancelled.
+ */
+public interface WorkerSide {
+    /** Sends the execution's query to its worker. */
+    void start(Execution execution);
+
+    /** Stops waiting for an execution; nothing is told of it any more. */
+    void cancel(Execution execution);
+
+    /** Asks a worker how it is; ends in {@link Driver#probed}. */
+    void probe(String worker);
+
+    /** Asks for the list of workers and its changes; ends in {@link Driver#listed}. */
+    void watch();
+}
--- /dev/null
+++ b/src/main/java/damsonslip/net/Link.java
@@ -0,0 +1,215 @@
+package damsonslip.net;
+
+import damsonslip.core.Loop;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Invocable;
+
+/**
+ * One open connection. Jetty's selector only tells that there is something to do; reading, deciding and writing
+ * all happen on the {@link Loop}, so that subclasses need no locks.
+ */
+public abstract class Link extends AbstractConnection {
+    private static final int IN_BUFFER = 8 * 1024;
+
+    private record Out(ByteBuffer[] bytes, Runnable written) { }
+
+    private final Loop loop;
+    private final ByteBuffer in = BufferUtil.allocate(IN_BUFFER);
+    private final ArrayDeque<Out> out = new ArrayDeque<>();
+    private boolean writing;
+    private boolean closed;
+    private boolean closeWhenWritten;
+
+    protected Link(EndPoint endPoint, Loop loop) {
+        super(endPoint, loop::execute);
+        this.loop = loop;
+    }
+
+    /** The connection is up. */
+    protected abstract void opened();
+
+    /** Bytes have come in; what is left in the buffer is shown again with the next ones, or on {@link #again}. */
+    protected abstract void received(ByteBuffer bytes);
+
+    /** The other side, or the network, has ended the connection; told once, and not after {@link #end}. */
+    protected abstract void lost();
+
+    public final boolean isClosed() {
+        return closed;
+    }
+
+    /** Closes the connection; nothing is told of it afterwards. */
+    public final void end() {
+        if (!closed) {
+            closed = true;
+            getEndPoint().close();
+            released();
+        }
+    }
+
+    /** Closes the connection once everything is written. */
+    protected final void endWhenWritten() {
+        closeWhenWritten = true;
+        if (!writing) {
+            end();
+        }
+    }
+
+    /** The connection is closed, whoever did it. */
+    protected void released() { }
+
+    /** Writes in order; tells once the last byte has been handed to the system. */
+    protected final void write(Runnable written, ByteBuffer... bytes) {
+        if (closed) {
+            return;
+        }
+        out.add(new Out(bytes, written));
+        writeNext();
+    }
+
+    /** Bytes that wait to be written. */
+    protected final long backlog() {
+        return out.stream().mapToLong(next -> BufferUtil.remaining(next.bytes())).sum();
+    }
+
+    private void writeNext() {
+        if (writing || closed) {
+            return;
+        }
+        Out next = out.poll();
+        if (next == null) {
+            if (closeWhenWritten) {
+                end();
+            }
+            return;
+        }
+        writing = true;
+        Written done = new Written(next.written());
+        getEndPoint().write(done, next.bytes());
+        done.settle();
+    }
+
+    /**
+     * Jetty reports a write from within the call where it could be done at once, else from its own thread. Both
+     * lead to the loop; the first without a detour, so that what is written counts as written at once.
+     */
+    private final class Written implements Callback {
+        private final Runnable then;
+        private final Thread caller = Thread.currentThread();
+        private boolean inCall = true;
+        private Runnable result;
+
+        Written(Runnable then) {
+            this.then = then;
+        }
+
+        @Override
+        public void succeeded() {
+            finish(() -> {
+                writing = false;
+                if (!closed) {
+                    then.run();
+                    writeNext();
+                }
+            });
+        }
+
+        @Override
+        public void failed(Throwable x) {
+            finish(Link.this::broken);
+        }
+
+        private void finish(Runnable end) {
+            if (Thread.currentThread() == caller && inCall) {
+                result = end;
+            } else {
+                loop.execute(end);
+            }
+        }
+
+        void settle() {
+            inCall = false;
+            if (result != null) {
+                result.run();
+            }
+        }
+
+        @Override
+        public InvocationType getInvocationType() {
+            return InvocationType.NON_BLOCKING;
+        }
+    }
+
+    @Override
+    public final void onOpen() {
+        super.onOpen();
+        loop.execute(() -> {
+            if (!closed) {
+                opened();
+                read();
+            }
+        });
+    }
+
+    @Override
+    public final void onFillable() {
+        loop.execute(this::read);
+    }
+
+    @Override
+    protected final void onFillInterestedFailed(Throwable cause) {
+        loop.execute(this::broken);
+    }
+
+    @Override
+    public Invocable.InvocationType getInvocationType() {
+        return Invocable.InvocationType.NON_BLOCKING;
+    }
+
+    /** Shows the bytes that were left over once more. */
+    protected final void again() {
+        if (!closed && BufferUtil.hasContent(in)) {
+            received(in);
+        }
+        if (!closed && !isFillInterested()) {
+            read();
+        }
+    }
+
+    private void read() {
+        try {
+            while (!closed && !BufferUtil.isFull(in)) {
+                int got = getEndPoint().fill(in);
+                if (got < 0) {
+                    broken();
+                    return;
+                }
+                if (got == 0) {
+                    if (!closed && !isFillInterested()) {
+                        fillInterested();
+                    }
+                    return;
+                }
+                received(in);
+            }
+            // a full buffer that nobody takes from stays unread: what a peer sends ahead is bounded by it
+        } catch (IOException e) {
+            broken();
+        }
+    }
+
+    private void broken() {
+        if (!closed) {
+            closed = true;
+            getEndPoint().close();
+            released();
+            lost();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -0,0 +1,113 @@
+package damsonslip.platform;
+
+import damsonslip.core.Counters;
+import damsonslip.core.Driver;
+import damsonslip.core.Loop;
+import damsonslip.core.Phase;
+import damsonslip.core.Phase.State;
+import damsonslip.net.Links;
+import damsonslip.platform.clients.ClientSide;
+import damsonslip.platform.servers.Address;
+import damsonslip.platform.servers.HostGroup;
+import damsonslip.platform.servers.ServerSide;
+import damsonslip.settings.BadInput;
+import damsonslip.settings.NodeConfig;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.Collections;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The platform's front put together: HTTP from clients, HTTP to workers, the list from discovery. */
+public final class Platform {
+    private static final Logger LOG = LoggerFactory.getLogger(Platform.class);
+    /** Clients and their front go on as before for a while after a stop is told; nobody may find the door shut. */
+    private static final long LEAVING_US = 700_000;
+    private static final long LOOK_US = 20_000;
+    /** Descriptors for what is neither a client's nor a worker's connection: files, the selector, discovery. */
+    private static final int OTHER_SOCKETS = 64;
+
+    private final Loop loop;
+    private final Phase phase;
+    private final Counters counters;
+    private final NodeConfig config;
+    private final Driver driver;
+    private ClientSide clients;
+    private Closeable listener;
+
+    public Platform(Loop loop, Phase phase, Counters counters, NodeConfig config) {
+        this.loop = loop;
+        this.phase = phase;
+        this.counters = counters;
+        this.config = config;
+        this.driver = new Driver(config.site().settings(), config.seed(), loop, counters);
+    }
+
+    /** Begins to serve; what is wrong with the configuration is told before anything is taken in. */
+    public void start() throws BadInput, IOException {
+        InetSocketAddress listen = address("listen", config.listen());
+        InetSocketAddress discovery = address("discovery", config.discovery());
+        Links links = Links.start(loop, config.site().connectUs() / 1000);
+        int sockets = config.sockets() - OTHER_SOCKETS;
+        clients = new ClientSide(links, config.site(), driver, phase, counters, sockets / 2);
+        ServerSide servers = new ServerSide(links, config.site(), driver, counters, discovery, sockets / 2);
+        HostGroup.Update known = known(servers.hosts());
+        loop.execute(() -> {
+            driver.begin(servers, servers.begin(known));
+            phase.moveTo(State.SERVING);
+        });
+        listener = clients.listen(listen);
+        LOG.info("{} listens on {}, {} workers known", config.name(), config.listen(), known.entries().size());
+    }
+
+    private static InetSocketAddress address(String name, String text) throws BadInput {
+        try {
+            return Address.parse(text);
+        } catch (IllegalArgumentException e) {
+            throw new BadInput("config: " + name + ": " + e.getMessage());
+        }
+    }
+
+    private HostGroup.Update known(HostGroup hosts) throws BadInput {
+        if (config.known().isMissingNode() || config.known().isNull()) {
+            return new HostGroup.Update(0, true, Collections.emptyList());
+        }
+        try {
+            HostGroup.Update known = hosts.decode(config.known());
+            return new HostGroup.Update(known.generation(), true, known.entries());
+        } catch (HostGroup.Malformed e) {
+            throw new BadInput("config: known: " + e.getMessage());
+        }
+    }
+
+    /** Leaves in good order: takes what still comes, answers everything, and only then is done. */
+    public void leave() {
+        loop.execute(() -> {
+            if (phase.atLeast(State.LEAVING)) {
+                return;
+            }
+            phase.moveTo(State.LEAVING);
+            loop.in(LEAVING_US, this::finish);
+        });
+    }
+
+    private void finish() {
+        phase.moveTo(State.FINISHING);
+        try {
+            listener.close();
+        } catch (IOException e) {
+            LOG.warn("the listener did not close: {}", e.getMessage());
+        }
+        look();
+    }
+
+    private void look() {
+        clients.closeIdle();
+        if (driver.open() == 0 && clients.busy() == 0) {
+            phase.moveTo(State.ENDED);
+        } else {
+            loop.in(LOOK_US, this::look);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/platform/clients/QueryHead.java
@@ -0,0 +1,77 @@
+package damsonslip.platform.clients;
+
+import damsonslip.core.Query;
+import damsonslip.platform.http.Field;
+import damsonslip.platform.http.HttpForward;
+import damsonslip.settings.Site;
+import java.util.Map;
+
+/**
+ * A client's message, decoded once.
+ *
+ * @param method  as it came
+ * @param target  path and query, as they came
+ * @param fields  the header fields that matter here, by their names in lower case
+ * @param body    the content
+ */
+record QueryHead(String method, String target, Map<String, String> fields, byte[] body) {
+    /** A message that cannot be served, and the status that says so. */
+    static final class Bad extends Exception {
+        private static final long serialVersionUID = 1L;
+        private final int status;
+
+        Bad(int status, String why) {
+            super(why);
+            this.status = status;
+        }
+
+        int status() {
+            return status;
+        }
+    }
+
+    String path() {
+        int end = target.indexOf('?');
+        return end < 0 ? target : target.substring(0, end);
+    }
+
+    private String field(String name) {
+        return fields.get(name.toLowerCase(java.util.Locale.ROOT));
+    }
+
+    private String needed(String name) throws Bad {
+        String value = field(name);
+        if (value == null || value.isBlank()) {
+            throw new Bad(400, "lacks " + name);
+        }
+        return value;
+    }
+
+    /** The query that this message asks, taken in now. */
+    Query query(Site site, long nowUs) throws Bad {
+        String id = needed(Field.ID);
+        int jobClass = site.classNames().indexOf(needed(Field.CLASS));
+        if (jobClass < 0) {
+            throw new Bad(400, "unknown class: " + field(Field.CLASS));
+        }
+        int slots = 1;
+        double memory = 0;
+        long timeLeft;
+        try {
+            timeLeft = field(Field.TIME_LEFT) == null ? site.deadlineUs(jobClass) : Field.micros(field(Field.TIME_LEFT));
+            for (String fact : field(Field.FACTS) == null ? new String[0] : field(Field.FACTS).split(",")) {
+                int at = fact.indexOf('=');
+                String value = fact.substring(at + 1).trim();
+                switch (at < 0 ? "" : fact.substring(0, at).trim()) {
+                    case "cores_needed", "slots" -> slots = Math.max(1, (int) Double.parseDouble(value));
+                    case "mem_needed", "memory" -> memory = Double.parseDouble(value);
+                    default -> { }
+                }
+            }
+        } catch (IllegalArgumentException e) {
+            throw new Bad(400, "not a figure: " + e.getMessage());
+        }
+        HttpForward forward = new HttpForward(method, target, field(Field.KEY), field("Content-Type"), body);
+        return new Query(id, jobClass, nowUs + timeLeft, slots, memory, null, forward);
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/platform/clients/QueryReader.java
@@ -0,0 +1,127 @@
+package damsonslip.platform.clients;
+
+import damsonslip.platform.http.Field;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.util.BufferUtil;
+
+/** Decodes a client's bytes, message by message. */
+final class QueryReader implements HttpParser.RequestHandler {
+    private final HttpParser parser = new HttpParser(this, Field.MOST_HEADERS);
+    private Map<String, String> fields = new HashMap<>();
+    private ByteArrayOutputStream body = new ByteArrayOutputStream(256);
+    private String method;
+    private String target;
+    private boolean persistent;
+    private boolean expectsContinue;
+    private boolean whole;
+    private QueryHead.Bad bad;
+
+    /** Takes bytes in; gives a message once it is whole, else null. */
+    QueryHead read(ByteBuffer bytes) throws QueryHead.Bad {
+        while (!whole && bad == null && BufferUtil.hasContent(bytes)) {
+            int before = bytes.remaining();
+            parser.parseNext(bytes);
+            if (bytes.remaining() == before && !whole) {
+                break;
+            }
+        }
+        if (bad != null) {
+            throw bad;
+        }
+        return whole ? new QueryHead(method, target, fields, body.toByteArray()) : null;
+    }
+
+    /** Whether the connection may serve a further message. */
+    boolean persistent() {
+        return persistent;
+    }
+
+    /** Whether the client waits to be told to send its body; asked for once. */
+    boolean takeContinue() {
+        boolean asked = expectsContinue && !whole;
+        expectsContinue = false;
+        return asked;
+    }
+
+    /** Whether a message has begun and is not whole. */
+    boolean midway() {
+        return !whole && !parser.isState(HttpParser.State.START);
+    }
+
+    /** Makes ready for the next message. */
+    void next() {
+        parser.reset();
+        fields = new HashMap<>();
+        body = new ByteArrayOutputStream(256);
+        whole = false;
+    }
+
+    @Override
+    public void startRequest(String verb, String uri, HttpVersion version) {
+        method = verb;
+        target = uri;
+        persistent = version == HttpVersion.HTTP_1_1;
+    }
+
+    @Override
+    public void parsedHeader(HttpField field) {
+        String name = field.getName().toLowerCase(Locale.ROOT);
+        String value = field.getValue() == null ? "" : field.getValue();
+        if (name.equals("connection")) {
+            String says = value.toLowerCase(Locale.ROOT);
+            persistent = !says.contains("close") && (persistent || says.contains("keep-alive"));
+        } else if (name.equals("expect")) {
+            expectsContinue = value.equalsIgnoreCase("100-continue");
+        } else if (name.equals("content-length") && value.length() < 19 && Long.parseLong(value) > Field.MOST_BODY) {
+            bad = new QueryHead.Bad(413, "body too large");
+        }
+        fields.put(name, value);
+    }
+
+    @Override
+    public boolean headerComplete() {
+        return bad != null;
+    }
+
+    @Override
+    public boolean content(ByteBuffer part) {
+        if (body.size() + part.remaining() > Field.MOST_BODY) {
+            bad = new QueryHead.Bad(413, "body too large");
+            return true;
+        }
+        byte[] bytes = new byte[part.remaining()];
+        part.get(bytes);
+        body.writeBytes(bytes);
+        return false;
+    }
+
+    @Override
+    public boolean contentComplete() {
+        return false;
+    }
+
+    @Override
+    public boolean messageComplete() {
+        whole = true;
+        return true;
+    }
+
+    @Override
+    public void earlyEOF() { }
+
+    @Override
+    public void badMessage(HttpException failure) {
+        if (bad == null) {
+            int status = failure.getCode() == 414 ? 431 : failure.getCode();
+            bad = new QueryHead.Bad(status, failure.getReason() == null ? "malformed" : failure.getReason());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/platform/http/Field.java
@@ -0,0 +1,39 @@
+package damsonslip.platform.http;
+
+import java.time.Duration;
+
+/** The names of the platform's header fields, and the forms of their values. */
+public final class Field {
+    public static final String ID = "X-Correlation-Id";
+    public static final String CLASS = "X-Service-Class";
+    public static final String TIME_LEFT = "X-Time-Left";
+    public static final String FACTS = "X-Facts";
+    public static final String KEY = "Idempotency-Key";
+    public static final String LOAD = "X-Backend-Load";
+    public static final String NOT_RUN = "X-Unprocessed";
+    public static final int MOST_BODY = 64 * 1024;
+    public static final int MOST_HEADERS = 8 * 1024;
+
+    private static final long MOST_US = Duration.ofDays(1).toNanos() / 1000;
+
+    private Field() { }
+
+    /** Reads {@code 480m} or {@code 480000u} as microseconds; no number or no known unit is an error. */
+    public static long micros(String text) {
+        int end = text.length() - 1;
+        long unit = end < 1 ? 0 : switch (text.charAt(end)) {
+            case 'm' -> 1000;
+            case 'u' -> 1;
+            default -> 0;
+        };
+        double number = unit == 0 ? Double.NaN : Double.parseDouble(text.substring(0, end));
+        if (!(number >= 0) || number * unit > MOST_US) {
+            throw new IllegalArgumentException("not a time: " + text);
+        }
+        return Math.round(number * unit);
+    }
+
+    public static String text(long micros) {
+        return Math.max(0, micros) + "u";
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/platform/servers/JobState.java
@@ -0,0 +1,76 @@
+package damsonslip.platform.servers;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import damsonslip.Dispatch.Report;
+
+/**
+ * A line of a worker's answer, decoded once.
+ *
+ * @param kind   what it tells
+ * @param result what the job gave, where done
+ * @param report the worker's load, or null
+ */
+record JobState(Kind kind, String result, Report report) {
+    enum Kind { STARTED, RUNNING, DONE, FAILED, RETURNED, LOST }
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    /** Reads a line about this job; null if it is none. */
+    static JobState read(String line, String id) {
+        try {
+            JsonNode node = JSON.readTree(line);
+            if (node == null || !id.equals(node.path("id").asText())) {
+                return null;
+            }
+            Kind kind = switch (node.path("state").asText("")) {
+                case "started" -> Kind.STARTED;
+                case "running" -> Kind.RUNNING;
+                case "done" -> node.path("result").isMissingNode() ? null : Kind.DONE;
+                case "failed" -> Kind.FAILED;
+                case "returned" -> Kind.RETURNED;
+                case "lost" -> Kind.LOST;
+                default -> null;
+            };
+            JsonNode result = node.path("result");
+            return kind == null ? null
+                : new JobState(kind, result.isTextual() ? result.asText() : result.toString(), report(node.path("load")));
+        } catch (JsonProcessingException e) {
+            return null;
+        }
+    }
+
+    private static Report report(JsonNode load) {
+        return load.isObject() ? new Report(load.path("x0").asDouble(Double.NaN), load.path("x1").asDouble(Double.NaN),
+            load.path("inflight").asDouble(Double.NaN)) : null;
+    }
+
+    /** Reads a load header such as {@code TEXT util=0.61, x0=2}; null if there is none. */
+    static Report report(String header) {
+        if (header == null || !header.startsWith("TEXT")) {
+            return null;
+        }
+        double free = Double.NaN;
+        double memory = Double.NaN;
+        double held = Double.NaN;
+        for (String part : header.substring(4).split(",")) {
+            int at = part.indexOf('=');
+            if (at < 0) {
+                continue;
+            }
+            try {
+                double value = Double.parseDouble(part.substring(at + 1).trim());
+                switch (part.substring(0, at).trim()) {
+                    case "x0" -> free = value;
+                    case "x1" -> memory = value;
+                    case "inflight" -> held = value;
+                    default -> { }
+                }
+            } catch (NumberFormatException e) {
+                // a figure that is none is left out; the others still count
+            }
+        }
+        return new Report(free, memory, held);
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/platform/servers/ServerLink.java
@@ -0,0 +1,203 @@
+package damsonslip.platform.servers;
+
+import damsonslip.Dispatch.Outcome;
+import damsonslip.Dispatch.Report;
+import damsonslip.core.Execution;
+import damsonslip.net.Link;
+import damsonslip.platform.http.Encoder;
+import damsonslip.platform.http.Field;
+import damsonslip.platform.http.HttpForward;
+import java.nio.ByteBuffer;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.io.EndPoint;
+
+/** A connection to a worker, which carries one execution or probe at a time. */
+final class ServerLink extends Link implements AnswerReader.Taker {
+    private static final int MOST_LINE = 256 * 1024;
+    private static final byte[] NOTHING = {};
+
+    private final ServerSide side;
+    private final String worker;
+    private final Consumer<ServerLink> up;
+    private final AnswerReader reader = new AnswerReader(this);
+    private final Lines lines = new Lines(MOST_LINE);
+    private Execution execution;
+    private boolean probing;
+    /** A request was begun, and its answer is not whole. */
+    private boolean busy;
+    /** The last byte of the request is written: from here on the job may run. */
+    private boolean written;
+    private int status;
+    private Report report;
+    private boolean unprocessed;
+    long idleSinceUs;
+
+    ServerLink(EndPoint endPoint, ServerSide side, String worker, Consumer<ServerLink> up) {
+        super(endPoint, side.loop());
+        this.up = up;
+        this.side = side;
+        this.worker = worker;
+    }
+
+    String worker() {
+        return worker;
+    }
+
+    @Override
+    protected void opened() {
+        side.opened(this);
+        up.accept(this);
+    }
+
+    /** Sends a query to the worker. */
+    void carry(Execution next) {
+        execution = next;
+        HttpForward forward = (HttpForward) next.query().cargo();
+        HttpFields.Mutable fields = HttpFields.build().add("Host", "app.svc").add(Field.ID, next.query().id())
+            .add(Field.TIME_LEFT, Field.text(next.endsByUs() - side.loop().now()));
+        if (forward.key() != null) {
+            fields.add(Field.KEY, forward.key());
+        }
+        if (forward.contentType() != null) {
+            fields.add("Content-Type", forward.contentType());
+        }
+        begin(Encoder.request(forward.method(), forward.target(), fields, forward.body()));
+    }
+
+    /** Asks for the worker's load. */
+    void probe() {
+        probing = true;
+        begin(Encoder.request("GET", "/load", HttpFields.build().add("Host", "app.svc"), NOTHING));
+    }
+
+    /** The probe's answer has not come in time. */
+    void probeOverdue() {
+        if (probing) {
+            end();
+            lost();
+        }
+    }
+
+    private void begin(ByteBuffer[] request) {
+        busy = true;
+        written = false;
+        status = 0;
+        report = null;
+        unprocessed = false;
+        write(() -> written = true, request);
+    }
+
+    /** Gives up what it carries, by the only means there is: the connection ends. */
+    void giveUp() {
+        execution = null;
+        probing = false;
+        end();
+    }
+
+    boolean idle() {
+        return !busy;
+    }
+
+    @Override
+    protected void received(ByteBuffer bytes) {
+        if (!busy) { // nobody asked: whatever this is, the next answer could not be told from it
+            end();
+            return;
+        }
+        reader.read(bytes);
+    }
+
+    @Override
+    public void head(int code, Map<String, String> fields) {
+        status = code;
+        report = JobState.report(fields.get(Field.LOAD.toLowerCase(Locale.ROOT)));
+        unprocessed = "1".equals(fields.get(Field.NOT_RUN.toLowerCase(Locale.ROOT)));
+    }
+
+    @Override
+    public void body(byte[] part) {
+        if (status != 200 || execution == null) {
+            return;
+        }
+        List<String> whole = lines.take(part);
+        if (whole == null) {
+            malformed("a line without end");
+            return;
+        }
+        whole.forEach(this::line);
+    }
+
+    private void line(String line) {
+        if (execution == null || line.isEmpty()) {
+            return;
+        }
+        JobState state = JobState.read(line, execution.query().id());
+        if (state == null) {
+            malformed("no job's state: " + line.substring(0, Math.min(80, line.length())));
+            return;
+        }
+        report = state.report() == null ? report : state.report();
+        switch (state.kind()) {
+            case STARTED -> side.driver().started(execution);
+            case RUNNING -> { }
+            case DONE -> finish(Outcome.SERVED, state.result());
+            case FAILED -> finish(Outcome.ERROR, null);
+            case RETURNED -> finish(Outcome.FULL, null);
+            case LOST -> finish(Outcome.RESET, null);
+        }
+    }
+
+    @Override
+    public void ended(boolean persistent) {
+        if (probing) {
+            probing = false;
+            side.probed(worker, status == 200, report);
+        } else if (execution != null) {
+            boolean turnedAway = unprocessed && (status == 503 || status == 504);
+            // a 200 that ends before its last line tells no more than a connection that breaks
+            finish(turnedAway ? Outcome.FULL : status == 200 ? Outcome.RESET : Outcome.ERROR, null);
+        }
+        busy = false;
+        lines.rest();
+        if (persistent) {
+            idleSinceUs = side.loop().now();
+            side.idle(this);
+        } else {
+            end();
+        }
+    }
+
+    @Override
+    public void malformed(String why) {
+        side.malformed(worker, why);
+        end();
+        lost();
+    }
+
+    private void finish(Outcome outcome, String result) {
+        Execution done = execution;
+        execution = null;
+        if (done != null) {
+            side.ended(done, new Execution.End(outcome, report, result));
+        }
+    }
+
+    /** What the loss proves depends on whether the last byte of the request had left. */
+    @Override
+    protected void lost() {
+        if (probing) {
+            probing = false;
+            side.probed(worker, false, null);
+        }
+        finish(written ? Outcome.RESET : Outcome.NOT_CONNECTED, null);
+    }
+
+    @Override
+    protected void released() {
+        side.closed(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/platform/servers/ServerSide.java
@@ -0,0 +1,220 @@
+package damsonslip.platform.servers;
+
+import damsonslip.Dispatch.Outcome;
+import damsonslip.Dispatch.Report;
+import damsonslip.Dispatch.Worker;
+import damsonslip.core.Counters;
+import damsonslip.core.Counters.Count;
+import damsonslip.core.Driver;
+import damsonslip.core.Execution;
+import damsonslip.core.Loop;
+import damsonslip.core.WorkerSide;
+import damsonslip.net.Link;
+import damsonslip.net.Links;
+import damsonslip.settings.Site;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.eclipse.jetty.io.EndPoint;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Sends executions to workers over kept server links, and learns from discovery which workers there are. */
+public final class ServerSide implements WorkerSide {
+    private static final Logger LOG = LoggerFactory.getLogger(ServerSide.class);
+    /** An idle link is not used again this close to the worker's own limit, where its close may cross a request. */
+    private static final long IDLE_MARGIN_US = 3_000_000;
+    private static final long SWEEP_US = 500_000;
+
+    private final Links links;
+    private final Site site;
+    private final Driver driver;
+    private final Counters counters;
+    private final int most;
+    private final HostGroup hosts;
+    private final Discovery discovery;
+    private final Map<String, ArrayDeque<ServerLink>> idle = new HashMap<>();
+    private final Set<ServerLink> open = new HashSet<>();
+    private final Map<Execution, ServerLink> carrying = new HashMap<>();
+
+    public ServerSide(Links links, Site site, Driver driver, Counters counters, InetSocketAddress discovery,
+                      int mostLinks) {
+        this.links = links;
+        this.site = site;
+        this.driver = driver;
+        this.counters = counters;
+        this.most = mostLinks;
+        this.hosts = new HostGroup(site);
+        this.discovery = new Discovery(links, discovery, hosts, driver);
+    }
+
+    /** The list that the scheduler had before its start, for the decisions to begin from. */
+    public List<Worker> begin(HostGroup.Update known) {
+        links.loop().in(SWEEP_US, this::sweep);
+        return hosts.apply(known, links.loop().now());
+    }
+
+    public HostGroup hosts() {
+        return hosts;
+    }
+
+    @Override
+    public void start(Execution execution) {
+        String worker = execution.worker();
+        InetSocketAddress address = hosts.address(worker);
+        if (address == null) {
+            driver.ended(execution, Execution.End.of(Outcome.NOT_CONNECTED));
+            return;
+        }
+        ServerLink kept = keptLink(worker);
+        if (kept != null) {
+            carry(kept, execution);
+            return;
+        }
+        connect(worker, address, link -> {
+            if (execution.open()) {
+                carry(link, execution);
+            } else {
+                idle(link);
+            }
+        }, () -> driver.ended(execution, Execution.End.of(Outcome.NOT_CONNECTED)));
+    }
+
+    private void connect(String worker, InetSocketAddress address, Consumer<ServerLink> up, Runnable failed) {
+        makeRoom();
+        links.connect(address, new Links.Opening() {
+            @Override
+            public Link open(EndPoint endPoint) {
+                return new ServerLink(endPoint, ServerSide.this, worker, up);
+            }
+
+            @Override
+            public void failed() {
+                failed.run();
+            }
+        });
+    }
+
+    void opened(ServerLink link) {
+        counters.add(Count.SERVER_LINKS_OPENED);
+        open.add(link);
+        link.idleSinceUs = loop().now();
+    }
+
+    /**
+     * Begins an execution on a link that is up. Guards the drain rule for jobs whose connection came up only
+     * after the news: these were never sent, and the module may place them elsewhere.
+     */
+    private void carry(ServerLink link, Execution execution) {
+        if (!hosts.maySend(execution.worker(), loop().now())) {
+            counters.add(Count.DRAINED_SENDS_STOPPED);
+            idle(link);
+            driver.ended(execution, Execution.End.of(Outcome.NOT_CONNECTED));
+            return;
+        }
+        carrying.put(execution, link);
+        link.carry(execution);
+    }
+
+    void ended(Execution execution, Execution.End end) {
+        carrying.remove(execution);
+        driver.ended(execution, end);
+    }
+
+    @Override
+    public void cancel(Execution execution) {
+        ServerLink link = carrying.remove(execution);
+        if (link != null) {
+            link.giveUp();
+        }
+    }
+
+    @Override
+    public void probe(String worker) {
+        InetSocketAddress address = hosts.address(worker);
+        ServerLink kept = keptLink(worker);
+        if (address == null || !hosts.maySend(worker, loop().now())) {
+            loop().execute(() -> driver.probed(worker, false, null));
+        } else if (kept != null) {
+            ask(kept);
+        } else {
+            connect(worker, address, this::ask, () -> driver.probed(worker, false, null));
+        }
+    }
+
+    private void ask(ServerLink link) {
+        link.probe();
+        loop().in(site.probeUs(), link::probeOverdue);
+    }
+
+    void probed(String worker, boolean ok, Report report) {
+        driver.probed(worker, ok, report);
+    }
+
+    @Override
+    public void watch() {
+        discovery.watch();
+    }
+
+    // ---- kept links
+
+    /** The link that was used last, so that the others age out and can be closed in time. */
+    private ServerLink keptLink(String worker) {
+        ArrayDeque<ServerLink> kept = idle.get(worker);
+        ServerLink link = kept == null ? null : kept.pollLast();
+        if (link != null && !fresh(link)) {
+            link.end();
+            return null; // the others are older still
+        }
+        return link;
+    }
+
+    private boolean fresh(ServerLink link) {
+        return loop().now() - link.idleSinceUs < site.idleUs() - Math.min(IDLE_MARGIN_US, site.idleUs() / 2);
+    }
+
+    void idle(ServerLink link) {
+        idle.computeIfAbsent(link.worker(), w -> new ArrayDeque<>()).addLast(link);
+    }
+
+    void closed(ServerLink link) {
+        open.remove(link);
+        ArrayDeque<ServerLink> kept = idle.get(link.worker());
+        if (kept != null) {
+            kept.remove(link);
+        }
+    }
+
+    private void makeRoom() {
+        if (open.size() >= most) {
+            idle.values().stream().filter(kept -> !kept.isEmpty()).map(ArrayDeque::peekFirst)
+                .min(Comparator.comparingLong(link -> link.idleSinceUs)).ifPresent(Link::end);
+        }
+    }
+
+    private void sweep() {
+        List<ServerLink> old = idle.values().stream().flatMap(ArrayDeque::stream)
+            .filter(link -> !fresh(link)).toList();
+        old.forEach(Link::end);
+        idle.values().removeIf(ArrayDeque::isEmpty);
+        links.loop().in(SWEEP_US, this::sweep);
+    }
+
+    void malformed(String worker, String why) {
+        LOG.warn("worker {}: {}", worker, why);
+    }
+
+    Loop loop() {
+        return links.loop();
+    }
+
+    Driver driver() {
+        return driver;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/program/Main.java
@@ -0,0 +1,48 @@
+package damsonslip.program;
+
+import damsonslip.settings.BadInput;
+import damsonslip.simhost.SimHost;
+import java.io.FileDescriptor;
+import java.io.FileInputStream;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+
+/** The command line: {@code java -jar damsonslip.jar serve|simhost|console}. */
+public final class Main {
+    private static final String USAGE = "usage: java -jar damsonslip.jar serve|simhost";
+
+    private Main() { }
+
+    public static void main(String[] args) {
+        int code = run(args, new FileInputStream(FileDescriptor.in), new FileOutputStream(FileDescriptor.out),
+            System.err);
+        if (code >= 0) {
+            System.exit(code);
+        }
+    }
+
+    /** Runs the command and returns its exit code: 1 on bad input, 2 on usage, -1 while it goes on serving. */
+    static int run(String[] args, InputStream in, OutputStream out, PrintStream err) {
+        String command = args.length == 1 ? args[0] : "";
+        try {
+            switch (command) {
+                case "simhost" -> new SimHost(in, out).run();
+                case "serve" -> {
+                    Serve.start(System.getenv());
+                    return -1;
+                }
+                default -> {
+                    err.println(USAGE);
+                    return 2;
+                }
+            }
+            return 0;
+        } catch (BadInput | IOException e) {
+            err.println("damsonslip: " + e.getMessage());
+            return 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/settings/NodeConfig.java
@@ -0,0 +1,71 @@
+package damsonslip.settings;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.Map;
+
+/**
+ * What a real scheduler is told at its start.
+ *
+ * @param name      its name
+ * @param listen    where clients connect
+ * @param discovery where the list of workers is
+ * @param seed      for random numbers
+ * @param sockets   how many descriptors it may hold
+ * @param known     the list of workers as it had it last, undecoded
+ * @param site      the deployment
+ */
+public record NodeConfig(String name, String listen, String discovery, long seed, int sockets, JsonNode known,
+                         Site site) {
+    private static final int FEWEST_SOCKETS = 128;
+
+    /** Reads the file that the environment names; the environment's own figures stand in for absent ones. */
+    public static NodeConfig read(Map<String, String> environment) throws BadInput {
+        String file = environment.get("ROUTER_CONFIG");
+        if (file == null || file.isBlank()) {
+            throw new BadInput("config: ROUTER_CONFIG names no file");
+        }
+        JsonNode root = parse(file);
+        String name = root.path("name").asText(environment.getOrDefault("ROUTER_NAME", "scheduler"));
+        return new NodeConfig(name, needed(root, "listen", environment.get("ROUTER_LISTEN")),
+            needed(root, "discovery", environment.get("ROUTER_DISCOVERY")), seed(root.path("seed").asText("0")),
+            Math.max(FEWEST_SOCKETS, root.path("limits").path("sockets").asInt(1024)), root.path("known"),
+            Site.read(root.path("settings")));
+    }
+
+    private static JsonNode parse(String file) throws BadInput {
+        try {
+            JsonNode root = new ObjectMapper().readTree(Files.readString(Path.of(file)));
+            if (root == null || !root.isObject()) {
+                throw new BadInput("config: " + file + ": not a JSON object");
+            }
+            return root;
+        } catch (JsonProcessingException e) {
+            throw new BadInput("config: " + file + ": not JSON: "
+                + e.getOriginalMessage().lines().findFirst().orElse(""));
+        } catch (IOException | InvalidPathException e) {
+            throw new BadInput("config: " + file + ": cannot be read");
+        }
+    }
+
+    private static String needed(JsonNode root, String name, String fallback) throws BadInput {
+        String value = root.path(name).asText(fallback == null ? "" : fallback);
+        if (value.isBlank()) {
+            throw new BadInput("config: " + name + " is missing");
+        }
+        return value;
+    }
+
+    private static long seed(String text) throws BadInput {
+        try {
+            return Long.parseUnsignedLong(text, 16);
+        } catch (NumberFormatException e) {
+            throw new BadInput("config: seed: " + text);
+        }
+    }
+}
--- a/src/main/java/damsonslip/simhost/SettingsReader.java
+++ b/src/main/java/damsonslip/settings/SettingsReader.java
@@ -1,4 +1,4 @@
-package damsonslip.simhost;
+package damsonslip.settings;
 
 import damsonslip.Dispatch.Effect;
 import damsonslip.Dispatch.Group;
@@ -12,10 +12,10 @@
 import java.util.List;
 
 /** Turns the wire's settings into the library's; unknown keys are ignored, absent ones take defaults. */
-final class SettingsReader {
+public final class SettingsReader {
     private SettingsReader() { }
 
-    static Settings read(JsonNode conf) throws BadInput {
+    public static Settings read(JsonNode conf) throws BadInput {
         if (conf == null || !conf.isObject()) {
             throw new BadInput("settings: conf is not an object");
         }
--- a/src/main/java/damsonslip/simhost/SimHost.java
+++ b/src/main/java/damsonslip/simhost/SimHost.java
@@ -11,6 +11,8 @@
 import damsonslip.Dispatch.SetTimer;
 import damsonslip.Dispatch.WatchList;
 import damsonslip.Rules;
+import damsonslip.settings.BadInput;
+import damsonslip.settings.SettingsReader;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
@@ -27,7 +29,7 @@
 import java.util.Map;
 
 /** Hosts the decisions of many dispatchers on the simulator's wire: a batch of events in, a reply out. */
-final class SimHost {
+public final class SimHost {
     private static final int OUT_BUFFER = 1 << 16;
 
     private final JsonParser in;
@@ -37,7 +39,7 @@
     private final Map<Integer, Rules> instances = new HashMap<>();
     private final List<Action> actions = new ArrayList<>();
 
-    SimHost(InputStream in, OutputStream out) throws IOException {
+    public SimHost(InputStream in, OutputStream out) throws IOException {
         ObjectMapper mapper = JsonMapper.builder().build();
         this.in = mapper.getFactory().createParser(in);
         this.out = new BufferedOutputStream(out, OUT_BUFFER);
@@ -46,7 +48,7 @@
     }
 
     /** Answers batches until the input ends. */
-    void run() throws IOException, BadInput {
+    public void run() throws IOException, BadInput {
         try {
             while (next()) {
                 if (!line.cmd().equals("begin_batch")) {
--- a/src/main/java/damsonslip/simhost/WireLine.java
+++ b/src/main/java/damsonslip/simhost/WireLine.java
@@ -13,6 +13,7 @@
 import damsonslip.Dispatch.Report;
 import damsonslip.Dispatch.Status;
 import damsonslip.Dispatch.TimerDue;
+import damsonslip.settings.BadInput;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/src/test/java/damsonslip/simhost/SimHostTest.java
+++ b/src/test/java/damsonslip/program/SimHostTest.java
@@ -1,4 +1,4 @@
-package damsonslip.simhost;
+package damsonslip.program;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
