Tell clients when to come back, and test the program over sockets

Observed: refusals carried no Retry-After. The socket tests written for it found a stop that hung for 60 s and a 431 that never left. Checked: a probe with a 20 KB header. Not the parser: Link.read stopped because a buffer read to its very end still counted as full (net/Link.java, read). A message that had only begun also held the exit up. A last answer is followed by reading to the end, so that it is not reset. The way out is one object (core.Leave) and bounded.

--- a/src/main/java/damsonslip/Dispatch.java
+++ b/src/main/java/damsonslip/Dispatch.java
@@ -180,12 +180,21 @@
         }
     }
 
-    /** A client's job; {@code subject} is null where jobs belong to no program or data set. */
+    /**
+     * A client's job; {@code subject} is null where jobs belong to no program or data set, and {@code mostRuns}
+     * bounds the attempts that may have run below what its class allows.
+     */
     record JobArrived(String job, int jobClass, int tenant, Long subject, long deadlineUs, int slots,
-                      double memory) implements Event {
+                      double memory, int mostRuns) implements Event {
         public JobArrived {
             require(job != null, "a job without an id");
             require(slots >= 1, "slots of a job: " + slots);
+            require(mostRuns >= 1, "runs of a job: " + mostRuns);
+        }
+
+        public JobArrived(String job, int jobClass, int tenant, Long subject, long deadlineUs, int slots,
+                          double memory) {
+            this(job, jobClass, tenant, subject, deadlineUs, slots, memory, Integer.MAX_VALUE);
         }
     }
 
@@ -214,8 +223,8 @@
     /** Call an attempt off. */
     record Cancel(String job, int attempt) implements Action { }
 
-    /** Final answer: turned away, trying again is harmless. */
-    record Refuse(String job) implements Action { }
+    /** Final answer: turned away, trying again is harmless and makes sense after this long. */
+    record Refuse(String job, long retryAfterUs) implements Action { }
 
     /** Final answer: failed, with no promise. */
     record Fail(String job) implements Action { }
--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -44,6 +44,7 @@
         final long order;
         final List<Attempt> attempts = new ArrayList<>(1);
         int outstanding;
+        int runs;
         boolean ended;
         boolean held;
         int near = 1;
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -28,10 +28,6 @@
     private static final double STEADY_WEIGHT = 0.025;
     /** Weight of the newest job in a mean job time, once a hundred are seen; long tails need many. */
     private static final double TIME_WEIGHT = 0.003;
-    /** The threshold search stops when a step brings less than this part of what all jobs are worth. */
-    static final double EPSILON = 1e-4;
-    /** No threshold above this many jobs for each slot: a queue this long is late whatever else holds. */
-    private static final int MOST_PER_SLOT = 8;
     /** Slots of a worker of which nothing is known yet: most machines have about this many cores. */
     private static final int GUESSED_SLOTS = 4;
     /** Slots are the largest free figure that this part of the reports reach: noise must not raise it. */
@@ -88,6 +84,8 @@
     private static final double COLD_PART = 0.4;
     /** Work that a new connection or a probe is taken to cost a cold worker. */
     private static final double HANDSHAKE_US = 3_000;
+    /** No client is told to stay away for longer: things look different by then. */
+    private static final double MOST_RETRY_US = 10e6;
     /** Probes may cost this many points of service for each job. */
     private static final double PROBE_POINTS = 0.003;
     /** Each worker is probed this often at the most. */
@@ -406,7 +404,8 @@
         }
         pool.full = false;
         int n = (int) Math.floor(pool.slots / pool.slotsPerJob);
-        double k = threshold(n, pool.rate, SECOND / pool.time, aim(pool) / SECOND, pool.of.worth(), EPSILON);
+        double k = Threshold.search(n, pool.rate, SECOND / pool.time, aim(pool) / SECOND, pool.of.worth(),
+            Threshold.EPSILON);
         pool.share = Math.max(1, (int) Math.round(k / settings.dispatchers()));
     }
 
@@ -477,52 +476,6 @@
         }
     }
 
-    /**
-     * The paper's search: K rises while V(K) = lambda sum_{j<K} p_j (c - c P(W_j > q)) grows by more than
-     * epsilon (a part of lambda c), in M/M/n/K with the response-time measure. O(1) a step.
-     */
-    static int threshold(int n, double lambda, double mu, double q, double c, double epsilon) {
-        if (n < 1 || lambda <= 0) {
-            return Math.max(1, n);
-        }
-        double servedInTime = -Math.expm1(-mu * q); // P(W_j <= q) while j < n
-        double logPoisson = -n * mu * q;            // log of e^(-n mu q) (n mu q)^k / k!, k jobs done in q
-        double below = Math.exp(logPoisson);        // P(Erlang(k, n mu) > q), k = j - n + 1
-        double mixed = Math.exp(-mu * q);           // P(Erlang(k) <= q, and the job's own time ends after q)
-        double weight = 1;                          // p_j, unnormalised and rescaled
-        double sum = 1;
-        double earned = servedInTime;
-        double best = -1;
-        int most = MOST_PER_SLOT * n + 1;
-        for (int k = 1; k <= most; k++) {
-            // here sum = p_0 + .. + p_{k-1} and earned goes over the same j; p_k completes the norm
-            double next = weight * lambda / (mu * Math.min(k, n));
-            double v = lambda * c * earned / (sum + next);
-            if (v - best <= epsilon * lambda * c) {
-                return Math.max(1, k - 1);
-            }
-            best = v;
-            weight = next;
-            sum += weight;
-            double inTime = servedInTime;
-            if (k >= n) {
-                int ahead = k - n + 1;
-                double poisson = Math.exp(logPoisson);
-                mixed = n == 1 ? poisson * mu * q / ahead : Math.max(0, (mixed - poisson) * n / (n - 1));
-                inTime = Math.max(0, 1 - below - mixed);
-                logPoisson += Math.log(n * mu * q / ahead);
-                below += Math.exp(logPoisson);
-            }
-            earned += weight * inTime;
-            if (sum > 1e200) {
-                weight /= sum;
-                earned /= sum;
-                sum = 1;
-            }
-        }
-        return most;
-    }
-
     // ---- arrival, quota, admission
 
     private void arrived(JobArrived ask) {
@@ -817,6 +770,7 @@
 
     /** An attempt has ended without serving: another if the class allows it, else the answer (rules 1, 2). */
     private void goOn(Job job, Attempt a, Outcome outcome) {
+        job.runs += outcome.provesNotRun() ? 0 : 1;
         if (!outcome.provesNotRun() && job.risk == null) {
             job.risk = a;
         }
@@ -830,8 +784,9 @@
 
     private boolean mayRepeat(Job job) {
         JobClass of = pools[job.ask.jobClass()].of;
-        return job.risk == null || of.effect() == Effect.SAFE
-            || of.effect() == Effect.KEYED && now + settings.tickUs() < job.risk.sent + of.windowUs();
+        boolean again = of.effect() != Effect.UNSAFE && job.runs < job.ask.mostRuns();
+        return job.risk == null || again && of.effect() == Effect.SAFE
+            || again && now + settings.tickUs() < job.risk.sent + of.windowUs();
     }
 
     private boolean harmless(Job job) {
@@ -843,10 +798,18 @@
     /** The final answer of a job that was not served: a refusal where that is harmless, else a failure. */
     private void answer(Job job) {
         turnedAway++;
-        actions.add(harmless(job) ? new Refuse(job.ask.job()) : new Fail(job.ask.job()));
+        Pool pool = pools[job.ask.jobClass()];
+        actions.add(harmless(job) ? new Refuse(job.ask.job(), retryAfter(pool)) : new Fail(job.ask.job()));
         end(job);
     }
 
+    /** When there may be room: what the pool holds beyond its share, at the pace at which its jobs end. */
+    private long retryAfter(Pool pool) {
+        double slots = Math.max(1, pool.slots / pool.slotsPerJob) / settings.dispatchers();
+        double excess = Math.max(1, pool.present - pool.share);
+        return (long) Math.min(MOST_RETRY_US, excess * pool.time / slots);
+    }
+
     private void end(Job job) {
         job.ended = true;
         job.held = false;
--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -92,7 +92,7 @@
         }
         exchanges.put(query.id(), exchange);
         tell(new JobArrived(query.id(), query.jobClass(), 0, query.subject(), query.deadlineUs(), query.slots(),
-            query.memory()));
+            query.memory(), query.mostRuns()));
         return exchange;
     }
 
@@ -182,7 +182,7 @@
         } else if (action instanceof Cancel cancel) {
             cancel(exchanges.get(cancel.job()), cancel.attempt());
         } else if (action instanceof Refuse refuse) {
-            finish(refuse.job(), Answer.throttled(0));
+            finish(refuse.job(), Answer.throttled(refuse.retryAfterUs()));
         } else if (action instanceof Fail fail) {
             Exchange exchange = exchanges.get(fail.job());
             finish(fail.job(), Answer.failed(exchange != null && late(exchange)));
--- /dev/null
+++ b/src/main/java/damsonslip/core/Front.java
@@ -0,0 +1,19 @@
+package damsonslip.core;
+
+import damsonslip.settings.BadInput;
+import java.io.IOException;
+
+/** What speaks to clients and workers: one of these is put round the core. */
+public interface Front {
+    /** Begins to serve; what is wrong with its configuration is told before anything is taken in. */
+    void start() throws BadInput, IOException;
+
+    /** Begins to leave in good order; {@link Phase.State#ENDED} tells when that is done. */
+    void leave();
+
+    /** Gives up what is held open, once everything has ended. */
+    default void close() { }
+
+    /** What the program looks like at this moment, for whoever watches it. */
+    Driver driver();
+}
--- /dev/null
+++ b/src/main/java/damsonslip/core/Leave.java
@@ -0,0 +1,58 @@
+package damsonslip.core;
+
+import damsonslip.core.Phase.State;
+import java.util.function.BooleanSupplier;
+
+/**
+ * The way out: for a while everything goes on as before, since clients still come; then the door is shut; and once
+ * nothing is under way any more, or nobody can be waiting for it, the program ends.
+ */
+public final class Leave {
+    private static final long LOOK_US = 20_000;
+
+    private final Loop loop;
+    private final Phase phase;
+    private final long openUs;
+    private final long longestUs;
+    private final Runnable shut;
+    private final BooleanSupplier done;
+    private long endUs;
+
+    /**
+     * @param openUs    how long the door stays open
+     * @param longestUs how long after that something may still be under way
+     * @param shut      shuts the door
+     * @param done      whether nothing is under way
+     */
+    public Leave(Loop loop, Phase phase, long openUs, long longestUs, Runnable shut, BooleanSupplier done) {
+        this.loop = loop;
+        this.phase = phase;
+        this.openUs = openUs;
+        this.longestUs = longestUs;
+        this.shut = shut;
+        this.done = done;
+    }
+
+    /** Called on the loop; a second call changes nothing. */
+    public void begin() {
+        if (!phase.atLeast(State.LEAVING)) {
+            phase.moveTo(State.LEAVING);
+            loop.in(openUs, this::finish);
+        }
+    }
+
+    private void finish() {
+        phase.moveTo(State.FINISHING);
+        endUs = loop.now() + longestUs;
+        shut.run();
+        look();
+    }
+
+    private void look() {
+        if (done.getAsBoolean() || loop.now() >= endUs) {
+            phase.moveTo(State.ENDED);
+        } else {
+            loop.in(LOOK_US, this::look);
+        }
+    }
+}
--- a/src/main/java/damsonslip/core/Query.java
+++ b/src/main/java/damsonslip/core/Query.java
@@ -9,9 +9,11 @@
  * @param slots      the slots that it takes at a worker
  * @param memory     the units of memory that it takes
  * @param subject    what it concerns, or null
+ * @param mostRuns   how often it may run at the most, whatever its class allows
  * @param cargo      what the front passes on to a worker; the core does not look into it
  */
-public record Query(String id, int jobClass, long deadlineUs, int slots, double memory, Long subject, Cargo cargo) {
+public record Query(String id, int jobClass, long deadlineUs, int slots, double memory, Long subject,
+                    int mostRuns, Cargo cargo) {
     /** A front's own form of a query's content. */
     public interface Cargo { }
 }
--- a/src/main/java/damsonslip/platform/servers/Address.java
+++ b/src/main/java/damsonslip/net/Address.java
@@ -1,4 +1,4 @@
-package damsonslip.platform.servers;
+package damsonslip.net;
 
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
--- a/src/main/java/damsonslip/platform/servers/Lines.java
+++ b/src/main/java/damsonslip/net/Lines.java
@@ -1,4 +1,4 @@
-package damsonslip.platform.servers;
+package damsonslip.net;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -6,16 +6,16 @@
 import java.util.List;
 
 /** Cuts a body into its lines; bounded, so that a peer that never ends one cannot fill the memory. */
-final class Lines {
+public final class Lines {
     private final int most;
     private ByteArrayOutputStream begun = new ByteArrayOutputStream();
 
-    Lines(int most) {
+    public Lines(int most) {
         this.most = most;
     }
 
     /** The lines that end in this part; null if one is too long. */
-    List<String> take(byte[] part) {
+    public List<String> take(byte[] part) {
         List<String> lines = new ArrayList<>(2);
         int from = 0;
         for (int i = 0; i < part.length; i++) {
@@ -31,7 +31,7 @@
     }
 
     /** What came after the last line end. */
-    String rest() {
+    public String rest() {
         String rest = begun.toString(StandardCharsets.UTF_8).trim();
         begun = new ByteArrayOutputStream();
         return rest;
--- a/src/main/java/damsonslip/net/Link.java
+++ b/src/main/java/damsonslip/net/Link.java
@@ -16,6 +16,8 @@
  */
 public abstract class Link extends AbstractConnection {
     private static final int IN_BUFFER = 8 * 1024;
+    /** How long a peer may take to close its side after the last answer. */
+    private static final long PARTING_US = 500_000;
 
     private record Out(ByteBuffer[] bytes, Runnable written) { }
 
@@ -25,6 +27,7 @@
     private boolean writing;
     private boolean closed;
     private boolean closeWhenWritten;
+    private boolean parting;
 
     protected Link(EndPoint endPoint, Loop loop) {
         super(endPoint, loop::execute);
@@ -53,11 +56,26 @@
         }
     }
 
-    /** Closes the connection once everything is written. */
+    /**
+     * Closes the connection once everything is written. Guards the last answer: closing with bytes unread would
+     * reset the connection, and the peer might never see what was written, so these are read and dropped first.
+     */
     protected final void endWhenWritten() {
         closeWhenWritten = true;
         if (!writing) {
-            end();
+            sayGoodbye();
+        }
+    }
+
+    private void sayGoodbye() {
+        if (!closed && !parting) {
+            parting = true;
+            getEndPoint().shutdownOutput();
+            loop.in(PARTING_US, this::end);
+            BufferUtil.clear(in);
+            if (!isFillInterested()) {
+                read();
+            }
         }
     }
 
@@ -85,7 +103,7 @@
         Out next = out.poll();
         if (next == null) {
             if (closeWhenWritten) {
-                end();
+                sayGoodbye();
             }
             return;
         }
@@ -174,7 +192,7 @@
 
     /** Shows the bytes that were left over once more. */
     protected final void again() {
-        if (!closed && BufferUtil.hasContent(in)) {
+        if (!closed && !parting && BufferUtil.hasContent(in)) {
             received(in);
         }
         if (!closed && !isFillInterested()) {
@@ -190,13 +208,24 @@
                     broken();
                     return;
                 }
+                if (parting) {
+                    BufferUtil.clear(in);
+                    if (got > 0) {
+                        continue;
+                    }
+                }
                 if (got == 0) {
                     if (!closed && !isFillInterested()) {
                         fillInterested();
                     }
                     return;
                 }
-                received(in);
+                if (!parting) {
+                    received(in);
+                }
+                if (BufferUtil.isEmpty(in)) { // else a buffer that was read to its very end would count as full
+                    BufferUtil.clear(in);
+                }
             }
             // a full buffer that nobody takes from stays unread: what a peer sends ahead is bounded by it
         } catch (IOException e) {
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -2,12 +2,14 @@
 
 import damsonslip.core.Counters;
 import damsonslip.core.Driver;
+import damsonslip.core.Front;
+import damsonslip.core.Leave;
 import damsonslip.core.Loop;
 import damsonslip.core.Phase;
 import damsonslip.core.Phase.State;
+import damsonslip.net.Address;
 import damsonslip.net.Links;
 import damsonslip.platform.clients.ClientSide;
-import damsonslip.platform.servers.Address;
 import damsonslip.platform.servers.HostGroup;
 import damsonslip.platform.servers.ServerSide;
 import damsonslip.settings.BadInput;
@@ -20,11 +22,10 @@
 import org.slf4j.LoggerFactory;
 
 /** The platform's front put together: HTTP from clients, HTTP to workers, the list from discovery. */
-public final class Platform {
+public final class Platform implements Front {
     private static final Logger LOG = LoggerFactory.getLogger(Platform.class);
     /** Clients and their front go on as before for a while after a stop is told; nobody may find the door shut. */
     private static final long LEAVING_US = 700_000;
-    private static final long LOOK_US = 20_000;
     /** Descriptors for what is neither a client's nor a worker's connection: files, the selector, discovery. */
     private static final int OTHER_SOCKETS = 64;
 
@@ -44,7 +45,7 @@
         this.driver = new Driver(config.site().settings(), config.seed(), loop, counters);
     }
 
-    /** Begins to serve; what is wrong with the configuration is told before anything is taken in. */
+    @Override
     public void start() throws BadInput, IOException {
         InetSocketAddress listen = address("listen", config.listen());
         InetSocketAddress discovery = address("discovery", config.discovery());
@@ -81,33 +82,27 @@
         }
     }
 
-    /** Leaves in good order: takes what still comes, answers everything, and only then is done. */
+    @Override
     public void leave() {
-        loop.execute(() -> {
-            if (phase.atLeast(State.LEAVING)) {
-                return;
-            }
-            phase.moveTo(State.LEAVING);
-            loop.in(LEAVING_US, this::finish);
-        });
+        long longest = config.site().deadlinesUs().stream().mapToLong(Long::longValue).max().orElse(0);
+        loop.execute(() -> new Leave(loop, phase, LEAVING_US, longest, this::shut, this::done).begin());
     }
 
-    private void finish() {
-        phase.moveTo(State.FINISHING);
+    private void shut() {
         try {
             listener.close();
         } catch (IOException e) {
             LOG.warn("the listener did not close: {}", e.getMessage());
         }
-        look();
     }
 
-    private void look() {
+    private boolean done() {
         clients.closeIdle();
-        if (driver.open() == 0 && clients.busy() == 0) {
-            phase.moveTo(State.ENDED);
-        } else {
-            loop.in(LOOK_US, this::look);
-        }
+        return driver.open() == 0 && clients.busy() == 0;
+    }
+
+    @Override
+    public Driver driver() {
+        return driver;
     }
 }
--- a/src/main/java/damsonslip/platform/clients/ClientLink.java
+++ b/src/main/java/damsonslip/platform/clients/ClientLink.java
@@ -121,6 +121,10 @@
         side.loop().execute(this::again);
     }
 
+    boolean busy() {
+        return busy;
+    }
+
     /** Whether no message has begun on it. */
     boolean idle() {
         return !busy && !reader.midway();
--- a/src/main/java/damsonslip/platform/clients/ClientSide.java
+++ b/src/main/java/damsonslip/platform/clients/ClientSide.java
@@ -48,9 +48,9 @@
         List.copyOf(open).stream().filter(ClientLink::idle).forEach(Link::end);
     }
 
-    /** How many connections still carry something. */
+    /** How many connections still owe an answer; one on which a query has only begun owes none. */
     public int busy() {
-        return (int) open.stream().filter(link -> !link.idle()).count();
+        return (int) open.stream().filter(ClientLink::busy).count();
     }
 
     @Override
--- a/src/main/java/damsonslip/platform/clients/QueryHead.java
+++ b/src/main/java/damsonslip/platform/clients/QueryHead.java
@@ -72,6 +72,6 @@
             throw new Bad(400, "not a figure: " + e.getMessage());
         }
         HttpForward forward = new HttpForward(method, target, field(Field.KEY), field("Content-Type"), body);
-        return new Query(id, jobClass, nowUs + timeLeft, slots, memory, null, forward);
+        return new Query(id, jobClass, nowUs + timeLeft, slots, memory, null, Integer.MAX_VALUE, forward);
     }
 }
--- a/src/main/java/damsonslip/platform/servers/Discovery.java
+++ b/src/main/java/damsonslip/platform/servers/Discovery.java
@@ -3,6 +3,7 @@
 import damsonslip.Dispatch.ListMode;
 import damsonslip.core.Driver;
 import damsonslip.core.Loop;
+import damsonslip.net.Lines;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
 import damsonslip.platform.http.Encoder;
--- a/src/main/java/damsonslip/platform/servers/HostGroup.java
+++ b/src/main/java/damsonslip/platform/servers/HostGroup.java
@@ -6,6 +6,7 @@
 import damsonslip.Dispatch.ListMode;
 import damsonslip.Dispatch.Status;
 import damsonslip.Dispatch.Worker;
+import damsonslip.net.Address;
 import damsonslip.settings.Site;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
--- a/src/main/java/damsonslip/platform/servers/ServerLink.java
+++ b/src/main/java/damsonslip/platform/servers/ServerLink.java
@@ -3,6 +3,7 @@
 import damsonslip.Dispatch.Outcome;
 import damsonslip.Dispatch.Report;
 import damsonslip.core.Execution;
+import damsonslip.net.Lines;
 import damsonslip.net.Link;
 import damsonslip.platform.http.Encoder;
 import damsonslip.platform.http.Field;
--- a/src/test/java/damsonslip/SizeTest.java
+++ b/src/test/java/damsonslip/SizeTest.java
@@ -10,6 +10,17 @@
 
 /** The limits that the readers of Rules.java have set. */
 class SizeTest {
+    private static List<String> filled(String file) throws IOException {
+        return Files.readAllLines(Path.of("src/main/java/damsonslip", file)).stream()
+            .filter(line -> !line.isBlank()).toList();
+    }
+
+    @Test
+    void allDecisionsTogetherStayWithinTheOperatorsLimit() throws IOException {
+        long filled = filled("Rules.java").size() + filled("Threshold.java").size();
+        assertTrue(filled <= 940, filled + " lines");
+    }
+
     @Test
     void rulesStayWithinTheirLines() throws IOException {
         List<String> lines = Files.readAllLines(Path.of("src/main/java/damsonslip/Rules.java"));
--- /dev/null
+++ b/src/test/java/damsonslip/kit/Program.java
@@ -0,0 +1,112 @@
+package damsonslip.kit;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+
+/** The real program as a process of its own, started as an operator would start it. */
+public final class Program implements AutoCloseable {
+    private final Process process;
+    private final StringBuilder said = new StringBuilder();
+    private final Thread reader;
+
+    public Program(Path config, String... args) throws IOException {
+        List<String> command = new ArrayList<>(List.of(
+            Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
+            "-XX:+UseSerialGC", "-cp",
+            System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
+            "damsonslip.program.Main"));
+        command.addAll(List.of(args));
+        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        if (config != null) {
+            builder.environment().put("ROUTER_CONFIG", config.toString());
+        }
+        process = builder.start();
+        reader = new Thread(this::read, "program's words");
+        reader.start();
+    }
+
+    private void read() {
+        try (BufferedReader in =
+                 new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                synchronized (said) {
+                    said.append(line).append('\n');
+                }
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    public String said() {
+        synchronized (said) {
+            return said.toString();
+        }
+    }
+
+    /** Waits until it has said this. */
+    public Program awaitWord(String word) {
+        await("the program says '" + word + "', but: " + said(), () -> said().contains(word));
+        return this;
+    }
+
+    /** Asks it to end, as a planned restart does, and goes on. */
+    public void terminate() {
+        process.toHandle().destroy(); // Process.destroy would close its output as well
+    }
+
+    public void kill() {
+        process.destroyForcibly();
+    }
+
+    /** Waits for its exit. */
+    public int exit() throws InterruptedException {
+        if (!process.waitFor(20, TimeUnit.SECONDS)) {
+            throw new AssertionError("still running: " + said());
+        }
+        reader.join();
+        return process.exitValue();
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+    }
+
+    public static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    public static Path file(Path dir, String text) throws IOException {
+        return Files.writeString(Files.createTempFile(dir, "config", ".txt"), text);
+    }
+
+    /** Waits for something that has to come about within ten seconds. */
+    public static void await(String what, BooleanSupplier holds) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        while (!holds.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("did not come about: " + what);
+            }
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonslip/platform/PlatformTest.java
@@ -0,0 +1,314 @@
+package damsonslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.Peer;
+import damsonslip.kit.Peer.Message;
+import damsonslip.kit.Program;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The real program between clients, workers and discovery that this test plays. */
+class PlatformTest {
+    /** What a worker does with a job that has come in whole. */
+    interface Work {
+        void on(Peer peer, Message job) throws IOException, InterruptedException;
+    }
+
+    static final Work SERVE = (peer, job) -> peer.answerLines(state(job, "started", ""),
+        state(job, "done", ",\"result\":\"r-" + job.field("X-Correlation-Id") + "\",\"load\":{\"x0\":3}"));
+    static final Work TURN_AWAY =
+        (peer, job) -> peer.send("HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n");
+    static final Work BREAK = (peer, job) -> peer.close();
+    static final Work SAY_NOTHING = (peer, job) -> Thread.sleep(30_000);
+
+    @TempDir
+    Path dir;
+    final Map<String, List<Message>> got = new ConcurrentHashMap<>();
+    final List<Peer.Server> servers = new ArrayList<>();
+    final List<String> news = new CopyOnWriteArrayList<>();
+    final List<String> watches = new CopyOnWriteArrayList<>();
+    final int port = Program.freePort();
+    Peer.Server discovery;
+    Program program;
+
+    static String state(Message job, String state, String more) {
+        return "{\"id\":\"" + job.field("X-Correlation-Id") + "\",\"from\":\"w\",\"state\":\"" + state + "\"" + more + "}";
+    }
+
+    @BeforeEach
+    void discovery() throws IOException {
+        discovery = new Peer.Server(0, peer -> {
+            Message asked = peer.message();
+            int told = news.size();
+            watches.add(asked.first());
+            peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for (int i = 1; true; i++) {
+                while (news.size() > told) {
+                    peer.chunk(news.get(told++));
+                }
+                if (i % 50 == 0) {
+                    peer.chunk("");
+                }
+                Thread.sleep(20);
+            }
+        });
+        servers.add(discovery);
+    }
+
+    @AfterEach
+    void end() throws IOException {
+        if (program != null) {
+            program.close();
+        }
+        for (Peer.Server server : servers) {
+            server.close();
+        }
+    }
+
+    /** A worker; gives its entry in discovery's list. */
+    String worker(String id, Work work) throws IOException {
+        List<Message> jobs = got.computeIfAbsent(id, w -> new CopyOnWriteArrayList<>());
+        Peer.Server server = new Peer.Server(0, peer -> {
+            while (true) {
+                Message job = peer.message();
+                jobs.add(job);
+                work.on(peer, job);
+            }
+        });
+        servers.add(server);
+        return entry(id, server.port(), "ready");
+    }
+
+    static String entry(String id, int port, String lifecycle) {
+        return "{\"instanceId\":\"" + id + "\",\"hostPort\":\"127.0.0.1:" + port + "\",\"zone\":\"z\",\"machineType\":\"k\","
+            + "\"cell\":0,\"lifecycle\":\"" + lifecycle + "\",\"weight\":1.0,\"startedAtMs\":0}";
+    }
+
+    static String list(int generation, boolean whole, String... entries) {
+        return "{\"generation\":" + generation + ",\"reset\":" + whole + ",\"instances\":[" + String.join(",", entries) + "]}";
+    }
+
+    void start(String... entries) throws IOException {
+        program = new Program(config(list(7, true, entries)), "serve").awaitWord("listens on");
+    }
+
+    private Path config(String known) throws IOException {
+        return Program.file(dir, "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
+            + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"known\":" + known
+            + ",\"settings\":{\"instances\":1,\"azs\":[\"z\"],\"shapes\":[\"k\"],\"registry_mode\":\"on_request\",\"lanes\":["
+            + lane("read", "repeatable") + "," + lane("submit", "once") + "],\"limits\":{\"send_cap\":5,"
+            + "\"may_cancel\":true,\"conn_idle_s\":2,\"dial_timeout_s\":0.25},\"guarantees\":{\"drain_grace_s\":0.5},"
+            + "\"specifics\":{\"tells_start\":true}}}");
+    }
+
+    private static String lane(String name, String semantics) {
+        return "{\"name\":\"" + name + "\",\"aim_s\":0.5,\"hard_limit_s\":5,\"semantics\":\"" + semantics + "\",\"value\":1}";
+    }
+
+    static String query(String id, String lane, String timeLeft) {
+        return "POST /api?x=1 HTTP/1.1\r\nHost: app.svc\r\nX-Correlation-Id: " + id + "\r\nX-Service-Class: " + lane
+            + "\r\nX-Time-Left: " + timeLeft + "\r\nIdempotency-Key: k-" + id + "\r\nContent-Length: 4\r\n\r\nbody";
+    }
+
+    Message ask(String text) throws IOException {
+        try (Peer client = Peer.connect(port)) {
+            return client.send(text).message();
+        }
+    }
+
+    int jobs(String... workers) {
+        return List.of(workers).stream().mapToInt(w -> got.get(w).size()).sum();
+    }
+
+    @Test
+    void aQueryGoesToAWorkerUnchangedAndItsResultComesBack() throws Exception {
+        start(worker("a", SERVE));
+        try (Peer client = Peer.connect(port)) {
+            for (String id : List.of("q1", "q2")) {
+                Message answer = client.send(query(id, "submit", "4000m")).message();
+                assertEquals(200, answer.status());
+                assertEquals("r-" + id, answer.body());
+            }
+        }
+        Message job = got.get("a").get(0);
+        assertEquals("POST /api?x=1 HTTP/1.1", job.first());
+        assertEquals("body", job.body());
+        assertEquals("k-q1", job.field("Idempotency-Key"));
+        assertTrue(Integer.parseInt(job.field("X-Time-Left").replace("u", "")) > 3_000_000);
+        assertEquals(1, servers.get(1).connections(), "the server link is kept");
+    }
+
+    /** A link lost after the last byte may have had its effect: once is enough for 'submit'. */
+    @Test
+    void whatMayHaveRunIsSentAgainOnlyWhereItsClassAllows() throws Exception {
+        start(worker("a", BREAK), worker("b", BREAK));
+        Message answer = ask(query("q1", "submit", "1000m"));
+        assertEquals(502, answer.status());
+        assertEquals(1, jobs("a", "b"), "sent once");
+        ask(query("q2", "read", "1000m"));
+        assertTrue(jobs("a", "b") >= 3, "a repeatable one is tried again");
+    }
+
+    @Test
+    void whatProvablyNeverRanIsSentElsewhere() throws Exception {
+        Peer.Server closed = new Peer.Server(0, peer -> { });
+        closed.close();
+        start(worker("a", TURN_AWAY), entry("b", closed.port(), "ready"), worker("c", SERVE));
+        for (int i = 0; i < 6; i++) {
+            assertEquals(200, ask(query("q" + i, "submit", "3000m")).status());
+        }
+        assertEquals(6, jobs("c"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {"{\"id\":\"other\",\"state\":\"done\",\"result\":\"x\"}", "nonsense",
+        "{\"id\":\"q1\",\"state\":\"jumping\"}", "{\"id\":\"q1\",\"state\":\"done\"}"})
+    void aWorkersMalformedLineEndsItsExecutionAsAReset(String line) throws Exception {
+        start(worker("a", (peer, job) -> peer.answerLines(line)));
+        assertEquals(502, ask(query("q1", "submit", "1000m")).status());
+        assertEquals(1, jobs("a"));
+    }
+
+    /** The module has given up: the answer must not wait for the deadline, and says when to come back. */
+    @Test
+    void aThrottleComesAtOnceAndTellsWhenToComeBack() throws Exception {
+        start(worker("a", SAY_NOTHING));
+        List<Peer> clients = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            clients.add(Peer.connect(port).send(query("q" + i, "read", "4000m")));
+        }
+        long before = System.nanoTime();
+        Message answer = ask(query("last", "read", "4000m"));
+        assertEquals(503, answer.status());
+        assertTrue(System.nanoTime() - before < 2_000_000_000L, "long before its deadline");
+        assertNotNull(answer.field("Retry-After"));
+        assertTrue(Double.parseDouble(answer.field("Retry-After")) > 0);
+        for (Peer client : clients) {
+            client.close();
+        }
+    }
+
+    @Test
+    void aSilentWorkersQueryIsAnsweredByItsDeadline() throws Exception {
+        start(worker("a", SAY_NOTHING));
+        ask(query("q0", "submit", "300m")); // the first one loads classes
+        long before = System.nanoTime();
+        assertEquals(504, ask(query("q1", "submit", "600m")).status());
+        long ms = (System.nanoTime() - before) / 1_000_000;
+        assertTrue(ms > 500 && ms < 660, ms + " ms");
+    }
+
+    @Test
+    void aClientThatGoesTakesItsExecutionAlong() throws Exception {
+        List<Boolean> ended = new CopyOnWriteArrayList<>();
+        start(worker("a", (peer, job) -> ended.add(peer.ended())));
+        Peer client = Peer.connect(port).send(query("q1", "read", "4000m"));
+        Program.await("the job is sent", () -> jobs("a") == 1);
+        client.close();
+        Program.await("its link is closed", () -> ended.equals(List.of(true)));
+    }
+
+    @Test
+    void nothingNewGoesToAWorkerThatIsToldToDrain() throws Exception {
+        String a = worker("a", SERVE);
+        start(a, worker("b", SERVE));
+        Program.await("a watch", () -> watches.size() == 1);
+        assertTrue(watches.get(0).contains("watch=1&after=7"), watches.get(0));
+        news.add(list(8, false, a.replace("ready", "draining")));
+        Thread.sleep(600);
+        int before = jobs("a");
+        for (int i = 0; i < 8; i++) {
+            assertEquals(200, ask(query("q" + i, "read", "2000m")).status());
+        }
+        assertEquals(before, jobs("a"));
+        assertEquals(8, jobs("b"));
+    }
+
+    @Test
+    void aBadLineFromDiscoveryIsToldPlainlyAndTheListAskedForAgain() throws Exception {
+        start(worker("a", SERVE));
+        Program.await("a watch", () -> watches.size() == 1);
+        news.add("{\"generation\":");
+        Program.await("a second watch", () -> watches.size() >= 2);
+        String novel = entry("n", 1, "ready").replace("\"zone\":\"z\"", "\"zone\":\"moon\"");
+        news.add(list(9, false, novel, worker("b", SERVE)));
+        program.awaitWord("moon");
+        assertEquals(200, ask(query("q1", "read", "2000m")).status());
+        assertFalse(program.said().contains("Exception"), program.said());
+    }
+
+    /** A worker closes a link at its idle limit; a job written to it then would count as a reset. */
+    @Test
+    void aServerLinkNearItsIdleLimitIsNotUsedAgain() throws Exception {
+        start(worker("a", SERVE));
+        ask(query("q1", "submit", "2000m"));
+        Thread.sleep(1_200);
+        ask(query("q2", "submit", "2000m"));
+        assertEquals(2, servers.get(1).connections());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "GET /nowhere HTTP/1.1~Host: a~~|404", "GET /healthz HTTP/1.1~Host: a~~|200", "GET /api HTTP/1.1~Host: a~~|405",
+        "POST /api HTTP/1.1~Host: a~X-Correlation-Id: q~X-Service-Class: other~Content-Length: 0~~|400",
+        "POST /api HTTP/1.1~Host: a~X-Service-Class: read~Content-Length: 0~~|400",
+        "POST /api HTTP/1.1~Host: a~X-Correlation-Id: q~X-Service-Class: read~X-Time-Left: 5~Content-Length: 0~~|400",
+        "POST /api HTTP/1.1~Host: a~Content-Length: 70000~~|413", "nonsense~~|400",
+        "POST /api HTTP/1.1~Host: a~Content-Length: x~~|400"})
+    void badInputGetsAPlainRefusal(String text, int status) throws Exception {
+        start(worker("a", SERVE));
+        assertEquals(status, ask(text.replace("~", "\r\n")).status());
+        assertEquals(431, ask("GET / HTTP/1.1\r\nHost: a\r\nX: " + "y".repeat(20_000) + "\r\n\r\n").status());
+        assertEquals(200, ask(query("q1", "read", "2000m")).status(), "others are served as before");
+        assertFalse(program.said().contains("Exception"), program.said());
+    }
+
+    /** After SIGTERM clients still come for a while; all get an answer, and only then the process ends. */
+    @Test
+    void aStopAnswersEverythingAndAsksClientsToGo() throws Exception {
+        start(worker("a", (peer, job) -> {
+            Thread.sleep(900);
+            SERVE.on(peer, job);
+        }));
+        Peer early = Peer.connect(port).send(query("q1", "submit", "4000m"));
+        Program.await("it is sent", () -> jobs("a") == 1);
+        program.terminate();
+        Thread.sleep(200);
+        Message late = ask(query("q2", "submit", "4000m"));
+        assertEquals(200, late.status());
+        assertEquals("close", late.field("Connection"));
+        Message answer = early.message();
+        assertEquals("r-q1", answer.body());
+        assertEquals("close", answer.field("Connection"));
+        assertEquals(143, program.exit());
+        assertTrue(program.said().contains("queries_taken=2 answers_served=2 executions_sent=2"), program.said());
+    }
+
+    @Test
+    void badConfigurationEndsTheProgramWithOnePlainLine() throws Exception {
+        for (String text : List.of("{", "{}", "{\"listen\":\"nowhere\",\"discovery\":\"127.0.0.1:1\",\"settings\":{}}")) {
+            try (Program failing = new Program(Program.file(dir, text), "serve")) {
+                assertEquals(1, failing.exit(), text);
+                assertEquals(1, failing.said().lines().count(), failing.said());
+                assertTrue(failing.said().startsWith("damsonslip: "), failing.said());
+            }
+        }
+        assertNull(program);
+    }
+}
