Add the Faktory front: pushes are queries, fetches offer slots, the store remembers

A second front round the same core and module, set up by deploy/faktory.toml and off on the platform. A job is recorded as reserved before it is handed out; after a restart a reserved one of a class that must not repeat only waits for its worker's word. Quiet is a drain; a wid first seen is a fresh, cold worker. Redis lies behind a port of three records and two sets; the tests bring a stand-in of their own. Checked: ten tests speak to the real program as producers, workers and store, among them a silent worker with apply-submit, a kill halfway through a fetch, a late ACK, a repeated PUSH, and the store going down. Seen on the way: a second job for a fresh worker is held back as long as it is cold; the test had asked for more than the rule gives, the module is right.

--- a/src/main/java/damsonslip/core/Counters.java
+++ b/src/main/java/damsonslip/core/Counters.java
@@ -2,6 +2,7 @@
 
 import java.util.Locale;
 import java.util.concurrent.atomic.AtomicLongArray;
+import java.util.function.BiConsumer;
 
 /** What the program has taken in, sent and answered since its start. */
 public final class Counters {
@@ -11,7 +12,8 @@
         ANSWERS_SERVED, ANSWERS_THROTTLED, ANSWERS_FAILED,
         EXECUTIONS_SENT, EXECUTIONS_SERVED, EXECUTIONS_ERROR, EXECUTIONS_FULL, EXECUTIONS_TIMED_OUT,
         EXECUTIONS_NOT_CONNECTED, EXECUTIONS_RESET, EXECUTIONS_CANCELLED, EXECUTIONS_NEVER_SENT,
-        PROBES_SENT, SERVER_LINKS_OPENED, CLIENT_LINKS_OPENED, LIST_UPDATES, LIST_FAILURES, DRAINED_SENDS_STOPPED
+        PROBES_SENT, SERVER_LINKS_OPENED, CLIENT_LINKS_OPENED, LIST_UPDATES, LIST_FAILURES, DRAINED_SENDS_STOPPED,
+        FETCHES_ANSWERED, PUSHES_REPEATED, WORDS_LATE
     }
 
     private final AtomicLongArray counts = new AtomicLongArray(Count.values().length);
@@ -24,15 +26,20 @@
         return counts.get(count.ordinal());
     }
 
-    /** One line of {@code name=value}, without what never happened. */
-    @Override
-    public String toString() {
-        StringBuilder text = new StringBuilder("counters");
+    /** Tells every count that is not nought. */
+    public void each(BiConsumer<String, Long> taker) {
         for (Count count : Count.values()) {
             if (get(count) > 0) {
-                text.append(' ').append(count.name().toLowerCase(Locale.ROOT)).append('=').append(get(count));
+                taker.accept(count.name().toLowerCase(Locale.ROOT), get(count));
             }
         }
+    }
+
+    /** One line of {@code name=value}, without what never happened. */
+    @Override
+    public String toString() {
+        StringBuilder text = new StringBuilder("counters");
+        each((name, count) -> text.append(' ').append(name).append('=').append(count));
         return text.toString();
     }
 }
--- /dev/null
+++ b/src/main/java/damsonslip/faktory/Consumer.java
@@ -0,0 +1,57 @@
+package damsonslip.faktory;
+
+import damsonslip.Dispatch.Status;
+import damsonslip.Dispatch.Worker;
+import damsonslip.core.Execution;
+import damsonslip.core.Loop;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/** A worker process: its connections, the slots that it offers by fetching, and what it has in hand. */
+final class Consumer {
+    /** A FETCH that waits for a job. */
+    record Offer(FaktoryLink link, List<String> queues, Loop.Timer timeout) { }
+
+    final String wid;
+    final int zone;
+    final int kind;
+    final Set<FaktoryLink> links = new HashSet<>();
+    final ArrayDeque<Offer> offers = new ArrayDeque<>();
+    /** Executions that the module has placed here and that no FETCH has come for yet. */
+    final List<Execution> expected = new ArrayList<>();
+    Status status = Status.RUNNING;
+    long startedUs;
+    long beatUs;
+    /** What an operator asks of it, told with its next beat; or empty. */
+    String asked = "";
+
+    Consumer(String wid, int zone, int kind, long startedUs) {
+        this.wid = wid;
+        this.zone = zone;
+        this.kind = kind;
+        this.startedUs = startedUs;
+    }
+
+    boolean runs() {
+        return status == Status.RUNNING;
+    }
+
+    /** The first waiting FETCH that takes from this queue, no longer waiting; or null. */
+    Offer takeOffer(String queue) {
+        for (Offer offer : offers) {
+            if (offer.queues().contains(queue) && !offer.link().isClosed()) {
+                offers.remove(offer);
+                offer.timeout().cancel();
+                return offer;
+            }
+        }
+        return null;
+    }
+
+    Worker entry() {
+        return new Worker(wid, zone, 0, kind, status, startedUs);
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/faktory/Consumers.java
@@ -0,0 +1,342 @@
+package damsonslip.faktory;
+
+import damsonslip.Dispatch.ListMode;
+import damsonslip.Dispatch.Outcome;
+import damsonslip.Dispatch.Report;
+import damsonslip.Dispatch.Status;
+import damsonslip.core.Counters;
+import damsonslip.core.Counters.Count;
+import damsonslip.core.Driver;
+import damsonslip.core.Execution;
+import damsonslip.core.Loop;
+import damsonslip.core.WorkerSide;
+import damsonslip.faktory.Consumer.Offer;
+import damsonslip.settings.Site;
+import damsonslip.store.AsyncStore;
+import damsonslip.store.JobRecord;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The server side: workers that fetch. A FETCH offers a slot; which job goes there is the module's decision,
+ * and nothing is handed out before the store knows of it.
+ */
+final class Consumers implements WorkerSide {
+    private static final Logger LOG = LoggerFactory.getLogger(Consumers.class);
+    /** A FETCH without a job is answered after this long, as the protocol has it. */
+    private static final long FETCH_US = 2_000_000;
+    /** A placed job waits this long for a slot to be offered, as when a worker is between two fetches. */
+    private static final long OFFER_US = 100_000;
+    /** A worker without any connection is taken to be gone after this long. */
+    private static final long GONE_US = 2_000_000;
+    /** A worker that does not beat for this long is taken to be gone. */
+    private static final long BEAT_US = 60_000_000;
+    private static final long SWEEP_US = 500_000;
+
+    private final Loop loop;
+    private final Site site;
+    private final Driver driver;
+    private final AsyncStore store;
+    private final Counters counters;
+    private final Map<String, Consumer> consumers = new HashMap<>();
+    /** What is with a worker, by job. */
+    private final Map<String, Reservation> reservations = new HashMap<>();
+
+    /** An execution on its way to a worker, or with it. */
+    private static final class Reservation {
+        final Execution execution;
+        final Consumer consumer;
+        boolean handedOut;
+        Loop.Timer lapse = () -> { };
+
+        Reservation(Execution execution, Consumer consumer) {
+            this.execution = execution;
+            this.consumer = consumer;
+        }
+    }
+
+    Consumers(Loop loop, Site site, Driver driver, AsyncStore store, Counters counters) {
+        this.loop = loop;
+        this.site = site;
+        this.driver = driver;
+        this.store = store;
+        this.counters = counters;
+        loop.in(SWEEP_US, this::sweep);
+    }
+
+    Collection<Consumer> all() {
+        return consumers.values();
+    }
+
+    /** How many jobs workers have in hand. */
+    int inHand() {
+        return reservations.size();
+    }
+
+    // ---- workers come, beat, and go
+
+    /** A worker's connection has said HELLO. Guards fresh workers: until the store tells otherwise one is cold. */
+    Consumer joined(Command.Hello hello, FaktoryLink link) {
+        Consumer known = consumers.get(hello.wid());
+        if (known != null && known.status != Status.GONE) {
+            known.links.add(link);
+            return known;
+        }
+        long now = loop.now();
+        Consumer fresh = new Consumer(hello.wid(), index(site.zoneNames(), hello.labels()),
+            index(site.kindNames(), hello.labels()), now);
+        fresh.links.add(link);
+        fresh.beatUs = now;
+        consumers.put(hello.wid(), fresh);
+        list(fresh);
+        store.ask(s -> s.firstSeen(fresh.wid, now / 1000), sinceMs -> {
+            if (sinceMs * 1000 < fresh.startedUs) {
+                fresh.startedUs = sinceMs * 1000;
+                list(fresh);
+            }
+        }, () -> { });
+        return fresh;
+    }
+
+    private static int index(List<String> names, List<String> labels) {
+        return labels.stream().mapToInt(names::indexOf).filter(i -> i >= 0).findFirst().orElse(0);
+    }
+
+    private void list(Consumer consumer) {
+        driver.listed(ListMode.CHANGES, List.of(consumer.entry()));
+    }
+
+    void left(Consumer consumer, FaktoryLink link) {
+        consumer.links.remove(link);
+        if (consumer.offers.removeIf(offer -> offer.link() == link)) {
+            report(consumer);
+        }
+        if (consumer.links.isEmpty()) {
+            loop.in(GONE_US, () -> {
+                if (consumer.links.isEmpty()) {
+                    stop(consumer, Status.GONE);
+                }
+            });
+        }
+    }
+
+    void beat(FaktoryLink link, Command.Beat beat) {
+        Consumer consumer = consumers.get(beat.wid());
+        if (consumer == null || consumer != link.consumer()) {
+            link.reply(Reply.error("ERR unknown worker " + beat.wid()));
+            return;
+        }
+        consumer.beatUs = loop.now();
+        if (beat.state().equals("quiet") || beat.state().equals("terminate")) {
+            stop(consumer, Status.DRAINING);
+        }
+        link.reply(consumer.asked.isEmpty() ? Reply.ok() : Reply.bulk("{\"state\":\"" + consumer.asked + "\"}"));
+    }
+
+    /** An operator's wish: nothing new from now on, told to the worker with its next beat. */
+    boolean ask(String wid, String state) {
+        Consumer consumer = consumers.get(wid);
+        if (consumer == null || consumer.status == Status.GONE) {
+            return false;
+        }
+        consumer.asked = state;
+        stop(consumer, Status.DRAINING);
+        return true;
+    }
+
+    /**
+     * From here on the worker gets nothing new: its waiting fetches end empty and what was placed but not handed
+     * out goes back unrun. Guards the drain rule, also for jobs whose reservation is just being recorded.
+     */
+    private void stop(Consumer consumer, Status status) {
+        if (consumer.status == status || consumer.status == Status.GONE) {
+            return;
+        }
+        consumer.status = status;
+        list(consumer);
+        List<Execution> expected = List.copyOf(consumer.expected);
+        consumer.expected.clear();
+        expected.forEach(execution -> driver.ended(execution, Execution.End.of(Outcome.FULL)));
+        while (!consumer.offers.isEmpty()) {
+            Offer offer = consumer.offers.poll();
+            offer.timeout().cancel();
+            offer.link().reply(Reply.NOTHING.duplicate());
+        }
+        if (status == Status.GONE) {
+            consumers.remove(consumer.wid);
+            for (Reservation held : List.copyOf(reservations.values())) {
+                if (held.consumer == consumer && held.handedOut) {
+                    end(held, Outcome.RESET);
+                }
+            }
+        }
+    }
+
+    private void sweep() {
+        long silentSince = loop.now() - BEAT_US;
+        for (Consumer consumer : new ArrayList<>(consumers.values())) {
+            if (consumer.beatUs < silentSince) {
+                LOG.info("worker {} has stopped beating", consumer.wid);
+                stop(consumer, Status.GONE);
+            }
+        }
+        loop.in(SWEEP_US, this::sweep);
+    }
+
+    // ---- slots
+
+    void fetch(FaktoryLink link, Command.Fetch fetch) {
+        Consumer consumer = link.consumer();
+        if (consumer == null) {
+            link.reply(Reply.error("ERR only a worker, with a wid in its HELLO, may fetch"));
+            return;
+        }
+        if (!consumer.runs()) {
+            loop.in(FETCH_US, () -> link.reply(Reply.NOTHING.duplicate()));
+            return;
+        }
+        Offer[] offer = new Offer[1];
+        offer[0] = new Offer(link, fetch.queues(), loop.in(FETCH_US, () -> {
+            if (consumer.offers.remove(offer[0])) {
+                link.reply(Reply.NOTHING.duplicate());
+            }
+        }));
+        consumer.offers.add(offer[0]);
+        for (Execution execution : consumer.expected) {
+            Offer taken = consumer.takeOffer(job(execution).queue());
+            if (taken != null) {
+                consumer.expected.remove(execution);
+                reserve(execution, consumer, taken);
+                return;
+            }
+        }
+        report(consumer);
+    }
+
+    private void report(Consumer consumer) {
+        driver.probed(consumer.wid, true, load(consumer));
+    }
+
+    private static Report load(Consumer consumer) {
+        return new Report(Math.max(0, consumer.offers.size() - consumer.expected.size()), Double.NaN, Double.NaN);
+    }
+
+    private static Job job(Execution execution) {
+        return (Job) execution.query().cargo();
+    }
+
+    // ---- executions
+
+    @Override
+    public void start(Execution execution) {
+        Consumer consumer = consumers.get(execution.worker());
+        if (consumer == null || !consumer.runs()) {
+            driver.ended(execution, Execution.End.of(Outcome.FULL));
+            return;
+        }
+        Offer offer = consumer.takeOffer(job(execution).queue());
+        if (offer != null) {
+            reserve(execution, consumer, offer);
+            return;
+        }
+        consumer.expected.add(execution);
+        loop.in(OFFER_US, () -> {
+            if (consumer.expected.remove(execution)) {
+                driver.ended(execution, new Execution.End(Outcome.FULL, load(consumer), null));
+            }
+        });
+    }
+
+    /**
+     * Records the reservation, then hands the job out. Guards against a restart in between: a job that the store
+     * calls queued was never given to anybody, and one that it calls reserved may have run.
+     */
+    private void reserve(Execution execution, Consumer consumer, Offer offer) {
+        Job job = job(execution);
+        Reservation held = new Reservation(execution, consumer);
+        reservations.put(job.jid(), held);
+        JobRecord record = new JobRecord(job.jid(), JobRecord.State.RESERVED, job.json(), job.deadlineMs(),
+            consumer.wid, "", loop.now() / 1000);
+        store.ask(s -> {
+            s.put(record);
+            return record;
+        }, done -> handOut(held, offer), () -> handBack(held, offer, Outcome.FULL));
+    }
+
+    private void handOut(Reservation held, Offer offer) {
+        Job job = job(held.execution);
+        boolean wanted = held.execution.open() && reservations.get(job.jid()) == held;
+        if (!wanted || !held.consumer.runs() || offer.link().isClosed()) {
+            handBack(held, offer, Outcome.FULL);
+            return;
+        }
+        counters.add(Count.FETCHES_ANSWERED);
+        held.handedOut = true;
+        held.lapse = loop.in(job.reserveMs() * 1000, () -> end(held, Outcome.RESET));
+        offer.link().reply(Reply.bulk(job.json()));
+        driver.started(held.execution);
+    }
+
+    /** The job has not left: its slot is offered again, and the module may place it elsewhere. */
+    private void handBack(Reservation held, Offer offer, Outcome outcome) {
+        Job job = job(held.execution);
+        if (reservations.remove(job.jid(), held) && held.execution.open()) {
+            JobRecord record = new JobRecord(job.jid(), JobRecord.State.QUEUED, job.json(), job.deadlineMs(), "", "",
+                loop.now() / 1000);
+            store.ask(s -> {
+                s.put(record);
+                return record;
+            }, done -> { }, () -> { });
+        }
+        if (!offer.link().isClosed()) {
+            fetch(offer.link(), new Command.Fetch(offer.queues()));
+        }
+        driver.ended(held.execution, Execution.End.of(outcome));
+    }
+
+    /** Nothing can call a job back from a worker; what it still says of it comes late. */
+    @Override
+    public void cancel(Execution execution) {
+        Consumer consumer = consumers.get(execution.worker());
+        if (consumer != null) {
+            consumer.expected.remove(execution);
+        }
+        Reservation held = reservations.get(execution.query().id());
+        if (held != null && held.execution == execution) {
+            held.lapse.cancel();
+            reservations.remove(execution.query().id());
+        }
+    }
+
+    private void end(Reservation held, Outcome outcome) {
+        held.lapse.cancel();
+        if (reservations.remove(job(held.execution).jid(), held)) {
+            driver.ended(held.execution, new Execution.End(outcome, load(held.consumer), ""));
+        }
+    }
+
+    /** A worker tells how a job ended; gives false if the job is not, or no longer, in this worker's hand. */
+    boolean reported(Consumer by, String jid, boolean done) {
+        Reservation held = reservations.get(jid);
+        if (held == null || held.consumer != by || !held.handedOut) {
+            return false;
+        }
+        end(held, done ? Outcome.SERVED : Outcome.ERROR);
+        return true;
+    }
+
+    /** A FETCH is as good as a probe: there is nothing else to ask a worker. */
+    @Override
+    public void probe(String worker) {
+        loop.execute(() -> driver.probed(worker, false, null));
+    }
+
+    /** Workers tell of themselves; there is no list to ask for. */
+    @Override
+    public void watch() { }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/faktory/Reply.java
@@ -0,0 +1,35 @@
+package damsonslip.faktory;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+
+/** What the server side of the protocol says, in RESP framing. */
+final class Reply {
+    static final ByteBuffer NOTHING = bytes("$-1\r\n").asReadOnlyBuffer();
+
+    private Reply() { }
+
+    static ByteBuffer ok() {
+        return bytes("+OK\r\n");
+    }
+
+    static ByteBuffer simple(String text) {
+        return bytes("+" + text + "\r\n");
+    }
+
+    /** An error; what it says fits on one line whatever it was made from. */
+    static ByteBuffer error(String text) {
+        return bytes("-" + text.replaceAll("[\\r\\n]+", " ") + "\r\n");
+    }
+
+    static ByteBuffer bulk(String text) {
+        byte[] content = text.getBytes(StandardCharsets.UTF_8);
+        byte[] head = ("$" + content.length + "\r\n").getBytes(StandardCharsets.US_ASCII);
+        ByteBuffer whole = ByteBuffer.allocate(head.length + content.length + 2);
+        return whole.put(head).put(content).put((byte) '\r').put((byte) '\n').flip();
+    }
+
+    private static ByteBuffer bytes(String text) {
+        return ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+    }
+}
--- a/src/main/java/damsonslip/program/Main.java
+++ b/src/main/java/damsonslip/program/Main.java
@@ -12,7 +12,7 @@
 
 /** The command line: {@code java -jar damsonslip.jar serve|simhost|console}. */
 public final class Main {
-    private static final String USAGE = "usage: java -jar damsonslip.jar serve|simhost";
+    private static final String USAGE = "usage: java -jar damsonslip.jar serve [FILE] | simhost";
 
     private Main() { }
 
@@ -26,12 +26,17 @@
 
     /** Runs the command and returns its exit code: 1 on bad input, 2 on usage, -1 while it goes on serving. */
     static int run(String[] args, InputStream in, OutputStream out, PrintStream err) {
-        String command = args.length == 1 ? args[0] : "";
+        String command = args.length == 0 ? "" : args[0];
+        boolean withFile = args.length == 2 && command.equals("serve");
+        if (args.length != 1 && !withFile) {
+            err.println(USAGE);
+            return 2;
+        }
         try {
             switch (command) {
                 case "simhost" -> new SimHost(in, out).run();
                 case "serve" -> {
-                    Serve.start(System.getenv());
+                    Serve.start(withFile ? args[1] : null, System.getenv());
                     return -1;
                 }
                 default -> {
--- a/src/main/java/damsonslip/program/Serve.java
+++ b/src/main/java/damsonslip/program/Serve.java
@@ -1,9 +1,12 @@
 package damsonslip.program;
 
 import damsonslip.core.Counters;
+import damsonslip.core.Front;
 import damsonslip.core.Loop;
 import damsonslip.core.Phase;
 import damsonslip.core.Phase.State;
+import damsonslip.faktory.Faktory;
+import damsonslip.faktory.FaktoryConfig;
 import damsonslip.platform.Platform;
 import damsonslip.settings.BadInput;
 import damsonslip.settings.NodeConfig;
@@ -17,24 +20,31 @@
 
     private Serve() { }
 
-    static void start(Map<String, String> environment) throws BadInput, IOException {
-        NodeConfig config = NodeConfig.read(environment);
+    /** Serves the platform, whose configuration the environment names, or what an operator's file sets up. */
+    static void start(String file, Map<String, String> environment) throws BadInput, IOException {
         Loop loop = new Loop();
         Phase phase = new Phase();
         Counters counters = new Counters();
-        Platform platform = new Platform(loop, phase, counters, config);
-        platform.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(platform, phase, counters), "stop"));
+        try {
+            Front front = file == null ? new Platform(loop, phase, counters, NodeConfig.read(environment))
+                : new Faktory(loop, phase, counters, FaktoryConfig.read(file));
+            front.start();
+            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(front, phase, counters), "stop"));
+        } catch (BadInput | IOException e) {
+            loop.stop();
+            throw e;
+        }
     }
 
     /** Runs when the process is told to end, which the JVM puts off until this returns. */
-    private static void stop(Platform platform, Phase phase, Counters counters) {
-        platform.leave();
+    private static void stop(Front front, Phase phase, Counters counters) {
+        front.leave();
         try {
             phase.await(State.ENDED, LONGEST_STOP_MS);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        front.close();
         System.err.println(counters);
     }
 }
--- /dev/null
+++ b/src/test/java/damsonslip/faktory/FaktoryTest.java
@@ -0,0 +1,243 @@
+package damsonslip.faktory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.FaktoryPeer;
+import damsonslip.kit.Program;
+import damsonslip.kit.RedisStandIn;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The real program as a Faktory server, between producers, workers and a store that this test plays. */
+class FaktoryTest {
+    private static final String PASSWORD = "s3cret";
+
+    @TempDir
+    Path dir;
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private final int port = Program.freePort();
+    private RedisStandIn redis;
+    private Program program;
+
+    @BeforeEach
+    void start() throws IOException {
+        redis = new RedisStandIn();
+        open.add(redis);
+        run();
+    }
+
+    /** The operator's own file, with this test's addresses. */
+    private void run() throws IOException {
+        String file = Files.readString(Path.of("deploy/faktory.toml")).replace("127.0.0.1:7419", "127.0.0.1:" + port)
+            .replace("127.0.0.1:6379", "127.0.0.1:" + redis.port).replace("password = \"\"  ", "password = \"s3cret\"  ")
+            .replace("127.0.0.1:7420", "");
+        program = new Program(null, "serve", Program.file(dir, file).toString()).awaitWord("taken up from the store");
+        open.add(program);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+    }
+
+    private FaktoryPeer producer() throws IOException {
+        return peer("");
+    }
+
+    private FaktoryPeer peer(String wid) throws IOException {
+        FaktoryPeer peer = new FaktoryPeer(port, wid, PASSWORD);
+        open.add(peer);
+        return peer;
+    }
+
+    private static void awaitState(FaktoryPeer producer, String jid, String state) {
+        Program.await(jid + " is " + state, () -> {
+            try {
+                return producer.state(jid).equals(state);
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+    }
+
+    @Test
+    void aJobGoesFromItsPushToItsFinalState() throws Exception {
+        FaktoryPeer producer = producer();
+        assertEquals("+OK", producer.push("job-00001", "apply-submit", 4, ""));
+        FaktoryPeer worker = peer("w1");
+        assertEquals("job-00001", worker.fetch());
+        assertEquals("working", producer.state("job-00001"));
+        assertEquals("+OK", worker.ack("job-00001"));
+        awaitState(producer, "job-00001", "success");
+        assertEquals("unknown", producer.state("job-99999"));
+        assertEquals(1, producer.info().path("faktory").path("total_processed").asInt());
+        assertEquals("{}", producer.call("PUSHB []"));
+    }
+
+    @Test
+    void whatIsNotInOrderGetsAPlainError() throws Exception {
+        assertThrows(IOException.class, () -> new FaktoryPeer(port, "", "wrong"));
+        FaktoryPeer producer = producer();
+        assertTrue(producer.push("job-00001", "no-such", 4, "").startsWith("-MALFORMED custom.class"));
+        assertTrue(producer.push("short", "apply-submit", 4, "").startsWith("-MALFORMED jid"));
+        assertTrue(producer.call("PUSH {").startsWith("-ERR not JSON"));
+        assertTrue(producer.call("JUMP").startsWith("-ERR unknown command JUMP"));
+        assertTrue(producer.call("FETCH default").startsWith("-ERR"));
+        assertTrue(producer.call("PUSHB [{\"jid\":\"job-00002\"}]").contains("jobtype is missing"));
+        assertEquals("+OK", producer.push("job-00003", "status-read", 1, ""), "and the connection goes on");
+    }
+
+    /** The worker may be at it still: whatever the retry count says, nobody else may get the job. */
+    @Test
+    void anApplySubmitWhoseWorkerGoesSilentEndsFailedAndNeverRunsAgain() throws Exception {
+        FaktoryPeer producer = producer();
+        FaktoryPeer silent = peer("w1");
+        assertEquals("+OK", producer.push("job-00001", "apply-submit", 1.5, ",\"retry\":25,\"reserve_for\":1"));
+        assertEquals("job-00001", silent.fetch());
+        FaktoryPeer other = peer("w2");
+        assertNull(other.fetch());
+        awaitState(producer, "job-00001", "failed");
+        assertNull(other.fetch());
+        assertEquals("+OK", silent.ack("job-00001"), "a late word is taken");
+        assertEquals("failed", producer.state("job-00001"), "and changes nothing");
+        assertEquals(1, producer.info().path("counters").path("words_late").asInt());
+    }
+
+    @Test
+    void aFailedRunIsRepeatedAsItsClassAndItsRetryCountAllow() throws Exception {
+        FaktoryPeer producer = producer();
+        FaktoryPeer worker = peer("w1");
+        producer.push("job-safe1", "status-read", 5, ",\"retry\":1");
+        assertEquals("job-safe1", worker.fetch());
+        worker.fail("job-safe1");
+        assertEquals("job-safe1", worker.fetch());
+        worker.fail("job-safe1");
+        assertNull(worker.fetch(), "one retry was granted");
+        awaitState(producer, "job-safe1", "failed");
+        producer.push("job-once1", "apply-submit", 5, ",\"retry\":25");
+        assertEquals("job-once1", worker.fetch());
+        worker.fail("job-once1");
+        awaitState(producer, "job-once1", "failed");
+        assertNull(worker.fetch());
+    }
+
+    @Test
+    void aRepeatedPushRunsOnce() throws Exception {
+        FaktoryPeer producer = producer();
+        FaktoryPeer worker = peer("w1");
+        assertEquals("+OK", producer.push("job-00001", "apply-submit", 5, ""));
+        assertEquals("+OK", producer.push("job-00001", "apply-submit", 5, ""));
+        assertEquals("job-00001", worker.fetch());
+        worker.ack("job-00001");
+        awaitState(producer, "job-00001", "success");
+        assertEquals("+OK", producer.push("job-00001", "apply-submit", 5, ""));
+        assertNull(worker.fetch());
+    }
+
+    /** A quiet worker finishes what it has; a fetch that already waits must not bring it anything new. */
+    @Test
+    void aQuietWorkerGetsNothingNew() throws Exception {
+        FaktoryPeer producer = producer();
+        FaktoryPeer waiting = peer("w1");
+        FaktoryPeer beating = peer("w1");
+        List<String> fetched = new ArrayList<>();
+        Thread fetch = new Thread(() -> {
+            try {
+                fetched.add(waiting.fetch());
+            } catch (IOException e) {
+                fetched.add(e.toString());
+            }
+        });
+        fetch.start();
+        Thread.sleep(300);
+        assertEquals("+OK", beating.call("BEAT {\"wid\":\"w1\",\"current_state\":\"quiet\"}"));
+        assertEquals("+OK", producer.push("job-00001", "status-read", 3, ""));
+        fetch.join();
+        assertNull(fetched.get(0));
+        assertNull(waiting.fetch());
+        assertEquals("job-00001", peer("w2").fetch());
+    }
+
+    /** Between a fetch and its word: what the store calls reserved may have run, what it calls queued did not. */
+    @Test
+    void aRestartHalfwayThroughAFetchRunsNothingTwice() throws Exception {
+        FaktoryPeer producer = producer();
+        FaktoryPeer worker = peer("w1");
+        producer.push("job-told1", "apply-submit", 8, "");
+        assertEquals("job-told1", worker.fetch());
+        producer.push("job-lost1", "apply-submit", 5, "");
+        assertEquals("job-lost1", peer("w3").fetch()); // the first one is cold, and full with what it has
+        producer.push("job-held1", "apply-submit", 8, "");
+        program.kill();
+        program.exit();
+        run();
+        FaktoryPeer after = producer();
+        FaktoryPeer other = peer("w2");
+        assertEquals("job-held1", other.fetch());
+        other.ack("job-held1");
+        awaitState(after, "job-held1", "success");
+        assertEquals("+OK", peer("w1").ack("job-told1"), "its own worker may still tell");
+        awaitState(after, "job-told1", "success");
+        assertNull(other.fetch());
+        awaitState(after, "job-lost1", "failed");
+        assertNull(other.fetch());
+    }
+
+    /** Nothing is taken and nothing is handed out that the store does not know of. */
+    @Test
+    void whileTheStoreIsDownNothingIsTakenOrHandedOut() throws Exception {
+        FaktoryPeer producer = producer();
+        assertEquals("+OK", producer.push("job-00001", "apply-submit", 1.5, ""));
+        redis.down();
+        assertTrue(producer.push("job-00002", "apply-submit", 5, "").startsWith("-ERR the store is down"));
+        FaktoryPeer worker = peer("w1");
+        assertNull(worker.fetch());
+        redis.up();
+        awaitState(producer, "job-00001", "failed");
+        Program.await("pushes are taken again", () -> {
+            try {
+                return "+OK".equals(producer.push("job-00003", "apply-submit", 5, ""));
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+        assertEquals("job-00003", worker.fetch());
+    }
+
+    @Test
+    void aRefusalAtTheDoorSaysWhenToComeBack() throws Exception {
+        FaktoryPeer producer = producer();
+        String said = "+OK";
+        for (int i = 0; i < 60 && said.equals("+OK"); i++) {
+            said = producer.push("job-0000" + i, "status-read", 30, "");
+        }
+        assertTrue(said.matches("-ERR throttled, retry after [0-9.]+ s"), said);
+    }
+
+    @Test
+    void aStopWaitsForWorkersWordsAndLeavesTheRestInTheStore() throws Exception {
+        FaktoryPeer producer = producer();
+        FaktoryPeer worker = peer("w1");
+        producer.push("job-00001", "apply-submit", 5, "");
+        assertEquals("job-00001", worker.fetch());
+        program.terminate();
+        Thread.sleep(600);
+        worker.ack("job-00001");
+        assertEquals(143, program.exit());
+        assertTrue(program.said().contains("answers_served=1"), program.said());
+        run();
+        assertEquals("success", producer().state("job-00001"));
+    }
+}
