--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# The few things that are done with this repository.
+.PHONY: build test lint run faktory console clean
+
+build:      ## the jar, without tests
+	mvn -q -B -ntp -DskipTests package
+
+test:       ## what CI runs: build, all tests, and the style check
+	mvn -B -ntp verify
+
+lint:       ## the style check alone
+	mvn -q -B -ntp checkstyle:check
+
+run:        ## the real scheduler of the platform; ROUTER_CONFIG names its configuration
+	java -jar target/damsonslip.jar serve
+
+faktory:    ## the scheduler as a Faktory server, by the operator's file
+	java -jar target/damsonslip.jar serve deploy/faktory.toml
+
+console:    ## the terminal console of a running scheduler
+	java -jar target/damsonslip.jar console
+
+clean:
+	mvn -q -B -ntp clean
--- a/src/main/java/damsonslip/Dispatch.java
+++ b/src/main/java/damsonslip/Dispatch.java
@@ -241,6 +241,14 @@
     /** Leave a line in the dispatcher's log. */
     record Log(String text) implements Action { }
 
+    /** How a class's pool stands, for people to read. */
+    record PoolState(int jobClass, int workers, double slots, double rate, double timeUs, double freeShare,
+                     int present, int held, int share) { }
+
+    /** How a worker stands, as far as this dispatcher knows; {@code pool} is a class or -1. */
+    record WorkerState(String id, int zone, int kind, boolean running, boolean cold, boolean paused, int out,
+                       double free, int pool) { }
+
     private static void require(boolean holds, String what) {
         if (!holds) {
             throw new IllegalArgumentException(what);
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -5,6 +5,7 @@
 import damsonslip.Known.Worker;
 import java.util.*;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
@@ -861,7 +862,23 @@
         }
     }
 
-    // ---- the log
+    // ---- for people to read
+
+    /** How the pools stand, by class. */
+    public List<PoolState> pools() {
+        return IntStream.range(0, pools.length).mapToObj(i -> {
+            Pool p = pools[i];
+            return new PoolState(i, p.members.size(), p.slots, p.rate, p.time, p.freeShare, p.present,
+                (int) p.hold.stream().filter(job -> job.held).count(), p.share);
+        }).toList();
+    }
+
+    /** How the workers stand, by id; {@code nowUs} tells which of them are cold or paused. */
+    public List<WorkerState> workers(long nowUs) {
+        now = Math.max(now, nowUs);
+        return workers.values().stream().map(w -> new WorkerState(w.id, w.zone, w.kind, w.running, cold(w),
+            now < w.pausedUntil, w.out.size(), free(w), Arrays.asList(pools).indexOf(w.pool))).toList();
+    }
 
     private void log() {
         if (now - loggedAt < LOG_US) {
--- /dev/null
+++ b/src/main/java/damsonslip/console/Console.java
@@ -0,0 +1,89 @@
+package damsonslip.console;
+
+import damsonslip.net.Address;
+import damsonslip.settings.BadInput;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.jline.reader.EndOfFileException;
+import org.jline.reader.LineReader;
+import org.jline.reader.LineReaderBuilder;
+import org.jline.reader.UserInterruptException;
+import org.jline.reader.impl.completer.StringsCompleter;
+import org.jline.terminal.Terminal;
+import org.jline.terminal.TerminalBuilder;
+
+/** The operator's terminal: asks a running scheduler and shows what it says. */
+public final class Console {
+    private static final String DEFAULT_ADDRESS = "127.0.0.1:7420";
+    private static final int PATIENCE_MS = 5_000;
+
+    private Console() { }
+
+    /** Runs one command where one is given, else asks at a prompt until the operator leaves. */
+    public static void run(List<String> arguments, PrintStream out) throws BadInput, IOException {
+        String address = arguments.isEmpty() ? DEFAULT_ADDRESS : arguments.get(0);
+        try (Socket socket = connect(address)) {
+            BufferedReader in =
+                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+            PrintWriter to = new PrintWriter(socket.getOutputStream(), true, StandardCharsets.UTF_8);
+            if (arguments.size() > 1) {
+                out.println(ask(String.join(" ", arguments.subList(1, arguments.size())), in, to));
+            } else {
+                prompt(address, in, to);
+            }
+        }
+    }
+
+    private static Socket connect(String address) throws BadInput {
+        try {
+            InetSocketAddress where = Address.parse(address);
+            Socket socket = new Socket();
+            socket.connect(where, PATIENCE_MS);
+            socket.setSoTimeout(PATIENCE_MS);
+            return socket;
+        } catch (IllegalArgumentException e) {
+            throw new BadInput("console: " + e.getMessage());
+        } catch (IOException e) {
+            throw new BadInput("console: nothing answers on " + address);
+        }
+    }
+
+    private static String ask(String line, BufferedReader in, PrintWriter to) throws IOException {
+        to.println(line);
+        StringBuilder told = new StringBuilder();
+        for (String next = in.readLine(); !ControlLink.STOP.equals(next); next = in.readLine()) {
+            if (next == null) {
+                throw new IOException("the scheduler has gone");
+            }
+            told.append(next).append('\n');
+        }
+        return told.toString().stripTrailing();
+    }
+
+    private static void prompt(String address, BufferedReader in, PrintWriter to) throws IOException {
+        try (Terminal terminal = TerminalBuilder.builder().dumb(true).build()) {
+            LineReader reader = LineReaderBuilder.builder().terminal(terminal)
+                .completer(new StringsCompleter(Commands.NAMES)).build();
+            terminal.writer().println("damsonslip on " + address + "; help lists the commands");
+            while (true) {
+                String line = reader.readLine("> ").trim();
+                if (line.equals("quit") || line.equals("exit")) {
+                    return;
+                }
+                if (!line.isEmpty()) {
+                    terminal.writer().println(ask(line, in, to));
+                    terminal.flush();
+                }
+            }
+        } catch (EndOfFileException | UserInterruptException e) {
+            // the operator's own way of leaving
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/console/Control.java
@@ -0,0 +1,118 @@
+package damsonslip.console;
+
+import damsonslip.Dispatch.PoolState;
+import damsonslip.Dispatch.WorkerState;
+import damsonslip.core.Counters;
+import damsonslip.core.Front;
+import damsonslip.core.Loop;
+import damsonslip.core.Phase;
+import damsonslip.net.Address;
+import damsonslip.net.Link;
+import damsonslip.net.Links;
+import damsonslip.settings.BadInput;
+import java.io.IOException;
+import java.util.List;
+import java.util.Locale;
+import org.eclipse.jetty.io.EndPoint;
+
+/** What an operator's console may ask of a running scheduler; it listens only where it is told to. */
+public final class Control implements Links.Accepting {
+    private static final int MOST_LINKS = 8;
+    private static final long CONNECT_MS = 1_000;
+
+    private final Loop loop;
+    private final Phase phase;
+    private final Counters counters;
+    private final Front front;
+    private volatile int open;
+
+    public Control(Loop loop, Phase phase, Counters counters, Front front) {
+        this.loop = loop;
+        this.phase = phase;
+        this.counters = counters;
+        this.front = front;
+    }
+
+    public void listen(String address) throws BadInput, IOException {
+        try {
+            Links.start(loop, CONNECT_MS).listen(Address.parse(address), this);
+        } catch (IllegalArgumentException e) {
+            throw new BadInput("config: console: " + e.getMessage());
+        }
+    }
+
+    @Override
+    public boolean mayAccept() {
+        return open < MOST_LINKS;
+    }
+
+    @Override
+    public Link open(EndPoint endPoint) {
+        return new ControlLink(endPoint, this);
+    }
+
+    void opened() {
+        open++;
+    }
+
+    void closed() {
+        open--;
+    }
+
+    Loop loop() {
+        return loop;
+    }
+
+    /** Answers one command; it is called on the loop, so that what it shows belongs together. */
+    String answer(String line) {
+        String[] words = line.trim().split("\\s+");
+        return switch (words[0].toLowerCase(Locale.ROOT)) {
+            case "workers" -> workers();
+            case "pools" -> pools(front.driver().pools());
+            case "queues" -> queues(front.driver().pools());
+            case "counters" -> counters();
+            case "phase" -> phase.state().name().toLowerCase(Locale.ROOT);
+            case "drain" -> words.length != 2 ? "which worker? drain ID"
+                : front.driver().drain(words[1]) ? words[1] + " gets nothing new" : "no such worker: " + words[1];
+            case "help" -> Commands.HELP;
+            default -> "unknown command: " + words[0] + "; help lists them";
+        };
+    }
+
+    private String workers() {
+        StringBuilder text = row("%-24s %-9s %5s %5s %6s %6s %s", "worker", "state", "zone", "kind", "out", "free", "pool");
+        for (WorkerState w : front.driver().workers()) {
+            String state = !w.running() ? "stopped" : w.paused() ? "paused" : w.cold() ? "cold" : "running";
+            text.append(row("%-24s %-9s %5d %5d %6d %6.1f %s", w.id(), state, w.zone(), w.kind(), w.out(), w.free(),
+                w.pool() < 0 ? "-" : front.className(w.pool())));
+        }
+        return text.toString();
+    }
+
+    private String pools(List<PoolState> pools) {
+        StringBuilder text = row("%-16s %7s %6s %8s %8s %6s", "pool", "workers", "slots", "jobs/s", "ms/job", "free%");
+        for (PoolState p : pools) {
+            text.append(row("%-16s %7d %6.0f %8.1f %8.0f %6.0f", front.className(p.jobClass()), p.workers(), p.slots(),
+                p.rate(), p.timeUs() / 1000, 100 * p.freeShare()));
+        }
+        return text.toString();
+    }
+
+    private String queues(List<PoolState> pools) {
+        StringBuilder text = row("%-16s %7s %7s %9s", "class", "present", "held", "threshold");
+        for (PoolState p : pools) {
+            text.append(row("%-16s %7d %7d %9d", front.className(p.jobClass()), p.present(), p.held(), p.share()));
+        }
+        return text.toString();
+    }
+
+    private String counters() {
+        StringBuilder text = new StringBuilder();
+        counters.each((name, count) -> text.append(row("%-26s %10d", name, count)));
+        return text.length() == 0 ? "nothing yet" : text.toString();
+    }
+
+    private static StringBuilder row(String format, Object... values) {
+        return new StringBuilder(String.format(Locale.ROOT, format, values).stripTrailing()).append('\n');
+    }
+}
--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -12,6 +12,7 @@
 import damsonslip.Dispatch.ListUpdate;
 import damsonslip.Dispatch.Log;
 import damsonslip.Dispatch.Outcome;
+import damsonslip.Dispatch.PoolState;
 import damsonslip.Dispatch.Probe;
 import damsonslip.Dispatch.ProbeEnded;
 import damsonslip.Dispatch.Refuse;
@@ -19,9 +20,11 @@
 import damsonslip.Dispatch.Send;
 import damsonslip.Dispatch.SetTimer;
 import damsonslip.Dispatch.Settings;
+import damsonslip.Dispatch.Status;
 import damsonslip.Dispatch.TimerDue;
 import damsonslip.Dispatch.WatchList;
 import damsonslip.Dispatch.Worker;
+import damsonslip.Dispatch.WorkerState;
 import damsonslip.Rules;
 import damsonslip.core.Counters.Count;
 import java.util.ArrayDeque;
@@ -44,6 +47,9 @@
     private final Counters counters;
     private final Rules rules;
     private final Map<String, Exchange> exchanges = new HashMap<>();
+    private final Map<String, Worker> listed = new HashMap<>();
+    /** Workers that an operator keeps new jobs from, with the start that this holds for. */
+    private final Map<String, Long> drained = new HashMap<>();
     private final ArrayDeque<Event> waiting = new ArrayDeque<>();
     private WorkerSide workers;
     private boolean handling;
@@ -58,7 +64,46 @@
     /** Begins with the list of workers that was kept; before anything else is told. */
     public void begin(WorkerSide side, List<Worker> kept) {
         workers = side;
-        tell(new ListUpdate(ListMode.KEPT, kept));
+        tell(new ListUpdate(ListMode.KEPT, withDrains(kept)));
+    }
+
+    // ---- for operators
+
+    public List<PoolState> pools() {
+        return rules.pools();
+    }
+
+    public List<WorkerState> workers() {
+        return rules.workers(loop.now());
+    }
+
+    /** Keeps new jobs from a worker until it starts anew; gives false if no list has named it. */
+    public boolean drain(String id) {
+        Worker worker = listed.get(id);
+        if (worker == null) {
+            return false;
+        }
+        drained.put(id, worker.startedUs());
+        workers.drain(id);
+        listed(ListMode.CHANGES, List.of(worker));
+        return true;
+    }
+
+    /** Guards an operator's drain against lists that know nothing of it. */
+    private List<Worker> withDrains(List<Worker> list) {
+        list.forEach(worker -> listed.put(worker.id(), worker));
+        return list.stream().map(worker -> {
+            Long drainedStart = drained.get(worker.id());
+            if (drainedStart == null || worker.status() != Status.RUNNING) {
+                return worker;
+            }
+            if (drainedStart != worker.startedUs()) {
+                drained.remove(worker.id());
+                return worker;
+            }
+            return new Worker(worker.id(), worker.zone(), worker.cell(), worker.kind(), Status.DRAINING,
+                worker.startedUs());
+        }).toList();
     }
 
     /** Queries that still lack their final answer. */
@@ -143,7 +188,7 @@
 
     public void listed(ListMode mode, List<Worker> list) {
         counters.add(mode == ListMode.FAILED ? Count.LIST_FAILURES : Count.LIST_UPDATES);
-        tell(new ListUpdate(mode, list));
+        tell(new ListUpdate(mode, withDrains(list)));
     }
 
     public void probed(String worker, boolean ok, Report report) {
--- a/src/main/java/damsonslip/core/Front.java
+++ b/src/main/java/damsonslip/core/Front.java
@@ -16,4 +16,7 @@
 
     /** What the program looks like at this moment, for whoever watches it. */
     Driver driver();
+
+    /** The name of a class, as its users know it. */
+    String className(int jobClass);
 }
--- a/src/main/java/damsonslip/core/WorkerSide.java
+++ b/src/main/java/damsonslip/core/WorkerSide.java
@@ -16,4 +16,7 @@
 
     /** Asks for the list of workers and its changes; ends in {@link Driver#listed}. */
     void watch();
+
+    /** An operator keeps new jobs from a worker; a front that can tells the worker so. */
+    default void drain(String worker) { }
 }
--- a/src/main/java/damsonslip/faktory/Consumers.java
+++ b/src/main/java/damsonslip/faktory/Consumers.java
@@ -138,15 +138,14 @@
         link.reply(consumer.asked.isEmpty() ? Reply.ok() : Reply.bulk("{\"state\":\"" + consumer.asked + "\"}"));
     }
 
-    /** An operator's wish: nothing new from now on, told to the worker with its next beat. */
-    boolean ask(String wid, String state) {
+    /** An operator's wish, told to the worker with its next beat. */
+    @Override
+    public void drain(String wid) {
         Consumer consumer = consumers.get(wid);
-        if (consumer == null || consumer.status == Status.GONE) {
-            return false;
+        if (consumer != null) {
+            consumer.asked = "quiet";
+            stop(consumer, Status.DRAINING);
         }
-        consumer.asked = state;
-        stop(consumer, Status.DRAINING);
-        return true;
     }
 
     /**
--- a/src/main/java/damsonslip/faktory/Faktory.java
+++ b/src/main/java/damsonslip/faktory/Faktory.java
@@ -107,6 +107,11 @@
         }
     }
 
+    @Override
+    public String className(int jobClass) {
+        return config.site().classNames().get(jobClass);
+    }
+
     @Override
     public Driver driver() {
         return driver;
--- a/src/main/java/damsonslip/faktory/Producers.java
+++ b/src/main/java/damsonslip/faktory/Producers.java
@@ -14,6 +14,7 @@
 import damsonslip.settings.Site;
 import damsonslip.store.AsyncStore;
 import damsonslip.store.JobRecord;
+import java.time.Instant;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Locale;
@@ -142,6 +143,7 @@
                 case REFUSED, FAILED -> "failed";
             });
             told.put("desc", record == null ? "" : record.detail());
+            told.put("updated_at", record == null ? "" : Instant.ofEpochMilli(record.updatedMs()).toString());
             link.reply(Reply.bulk(told.toString()));
         }, () -> link.reply(Reply.error("ERR the store is down")));
     }
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -101,6 +101,11 @@
         return driver.open() == 0 && clients.busy() == 0;
     }
 
+    @Override
+    public String className(int jobClass) {
+        return config.site().classNames().get(jobClass);
+    }
+
     @Override
     public Driver driver() {
         return driver;
--- a/src/main/java/damsonslip/program/Main.java
+++ b/src/main/java/damsonslip/program/Main.java
@@ -1,5 +1,6 @@
 package damsonslip.program;
 
+import damsonslip.console.Console;
 import damsonslip.settings.BadInput;
 import damsonslip.simhost.SimHost;
 import java.io.FileDescriptor;
@@ -9,10 +10,13 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 
-/** The command line: {@code java -jar damsonslip.jar serve|simhost|console}. */
+/** The command line: {@code java -jar damsonslip.jar serve|console|simhost}. */
 public final class Main {
-    private static final String USAGE = "usage: java -jar damsonslip.jar serve [FILE] | simhost";
+    private static final String USAGE =
+        "usage: java -jar damsonslip.jar serve [FILE] | console [ADDRESS [COMMAND]] | simhost";
 
     private Main() { }
 
@@ -28,7 +32,7 @@
     static int run(String[] args, InputStream in, OutputStream out, PrintStream err) {
         String command = args.length == 0 ? "" : args[0];
         boolean withFile = args.length == 2 && command.equals("serve");
-        if (args.length != 1 && !withFile) {
+        if (args.length != 1 && !withFile && !command.equals("console")) {
             err.println(USAGE);
             return 2;
         }
@@ -39,6 +43,8 @@
                     Serve.start(withFile ? args[1] : null, System.getenv());
                     return -1;
                 }
+                case "console" -> Console.run(List.of(args).subList(1, args.length),
+                    new PrintStream(out, true, StandardCharsets.UTF_8));
                 default -> {
                     err.println(USAGE);
                     return 2;
--- a/src/main/java/damsonslip/program/Serve.java
+++ b/src/main/java/damsonslip/program/Serve.java
@@ -1,5 +1,6 @@
 package damsonslip.program;
 
+import damsonslip.console.Control;
 import damsonslip.core.Counters;
 import damsonslip.core.Front;
 import damsonslip.core.Loop;
@@ -26,9 +27,20 @@
         Phase phase = new Phase();
         Counters counters = new Counters();
         try {
-            Front front = file == null ? new Platform(loop, phase, counters, NodeConfig.read(environment))
-                : new Faktory(loop, phase, counters, FaktoryConfig.read(file));
+            Front front;
+            String console;
+            if (file == null) {
+                front = new Platform(loop, phase, counters, NodeConfig.read(environment));
+                console = environment.getOrDefault("DAMSONSLIP_CONSOLE", "");
+            } else {
+                FaktoryConfig config = FaktoryConfig.read(file);
+                front = new Faktory(loop, phase, counters, config);
+                console = config.console();
+            }
             front.start();
+            if (!console.isBlank()) {
+                new Control(loop, phase, counters, front).listen(console);
+            }
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(front, phase, counters), "stop"));
         } catch (BadInput | IOException e) {
             loop.stop();
--- /dev/null
+++ b/src/test/java/damsonslip/console/ConsoleTest.java
@@ -0,0 +1,57 @@
+package damsonslip.console;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.FaktoryPeer;
+import damsonslip.kit.Program;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The console as an operator uses it, against a running scheduler. */
+class ConsoleTest {
+    @TempDir
+    Path dir;
+    private final int port = Program.freePort();
+    private final int console = Program.freePort();
+
+    private String ask(String... command) throws IOException, InterruptedException {
+        String[] arguments = new String[command.length + 2];
+        arguments[0] = "console";
+        arguments[1] = "127.0.0.1:" + console;
+        System.arraycopy(command, 0, arguments, 2, command.length);
+        try (Program program = new Program(null, arguments)) {
+            program.exit();
+            return program.said();
+        }
+    }
+
+    @Test
+    void anOperatorSeesHowThingsStandAndDrainsAWorker() throws Exception {
+        String file = Files.readString(Path.of("deploy/faktory.toml")).replace("127.0.0.1:7419", "127.0.0.1:" + port)
+            .replace("redis://127.0.0.1:6379", "memory").replace("127.0.0.1:7420", "127.0.0.1:" + console);
+        try (Program program = new Program(null, "serve", Program.file(dir, file).toString())
+                 .awaitWord("taken up from the store");
+             FaktoryPeer worker = new FaktoryPeer(port, "w1", ""); FaktoryPeer producer = new FaktoryPeer(port, "", "")) {
+            producer.push("job-00001", "apply-submit", 30, "");
+            assertEquals("job-00001", worker.fetch());
+            assertTrue(ask("workers").matches("(?s)worker .*w1 +cold +0 +0 +1 .*"), ask("workers"));
+            assertTrue(ask("pools").contains("apply-submit"));
+            assertTrue(ask("queues").matches("(?s).*apply-submit +1 +0 +[0-9]+.*"), ask("queues"));
+            assertTrue(ask("counters").matches("(?s).*queries_taken +1\n.*"), ask("counters"));
+            assertEquals("serving\n", ask("phase"));
+            assertEquals("no such worker: w9\n", ask("drain", "w9"));
+            assertEquals("w1 gets nothing new\n", ask("drain", "w1"));
+            assertTrue(ask("jump").startsWith("unknown command: jump"));
+            assertEquals("+OK", worker.ack("job-00001"), "what it has it may finish");
+            assertEquals("+OK", producer.push("job-00002", "status-read", 3, ""));
+            assertNull(worker.fetch());
+            assertEquals("{\"state\":\"quiet\"}", worker.call("BEAT {\"wid\":\"w1\"}"));
+        }
+        assertTrue(ask("phase").startsWith("damsonslip: console: nothing answers"), "a plain word where there is nobody");
+    }
+}
--- a/src/test/java/damsonslip/platform/PlatformTest.java
+++ b/src/test/java/damsonslip/platform/PlatformTest.java
@@ -48,7 +48,8 @@
     Program program;
 
     static String state(Message job, String state, String more) {
-        return "{\"id\":\"" + job.field("X-Correlation-Id") + "\",\"from\":\"w\",\"state\":\"" + state + "\"" + more + "}";
+        return "{\"id\":\"" + job.field("X-Correlation-Id") + "\",\"from\":\"w\",\"state\":\"" + state + "\""
+            + more + "}";
     }
 
     @BeforeEach
@@ -96,12 +97,14 @@
     }
 
     static String entry(String id, int port, String lifecycle) {
-        return "{\"instanceId\":\"" + id + "\",\"hostPort\":\"127.0.0.1:" + port + "\",\"zone\":\"z\",\"machineType\":\"k\","
+        return "{\"instanceId\":\"" + id + "\",\"hostPort\":\"127.0.0.1:" + port
+            + "\",\"zone\":\"z\",\"machineType\":\"k\","
             + "\"cell\":0,\"lifecycle\":\"" + lifecycle + "\",\"weight\":1.0,\"startedAtMs\":0}";
     }
 
     static String list(int generation, boolean whole, String... entries) {
-        return "{\"generation\":" + generation + ",\"reset\":" + whole + ",\"instances\":[" + String.join(",", entries) + "]}";
+        return "{\"generation\":" + generation + ",\"reset\":" + whole + ",\"instances\":["
+            + String.join(",", entries) + "]}";
     }
 
     void start(String... entries) throws IOException {
@@ -111,14 +114,16 @@
     private Path config(String known) throws IOException {
         return Program.file(dir, "{\"name\":\"n1\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
             + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"known\":" + known
-            + ",\"settings\":{\"instances\":1,\"azs\":[\"z\"],\"shapes\":[\"k\"],\"registry_mode\":\"on_request\",\"lanes\":["
+            + ",\"settings\":{\"instances\":1,\"azs\":[\"z\"],\"shapes\":[\"k\"],"
+            + "\"registry_mode\":\"on_request\",\"lanes\":["
             + lane("read", "repeatable") + "," + lane("submit", "once") + "],\"limits\":{\"send_cap\":5,"
             + "\"may_cancel\":true,\"conn_idle_s\":2,\"dial_timeout_s\":0.25},\"guarantees\":{\"drain_grace_s\":0.5},"
             + "\"specifics\":{\"tells_start\":true}}}");
     }
 
     private static String lane(String name, String semantics) {
-        return "{\"name\":\"" + name + "\",\"aim_s\":0.5,\"hard_limit_s\":5,\"semantics\":\"" + semantics + "\",\"value\":1}";
+        return "{\"name\":\"" + name + "\",\"aim_s\":0.5,\"hard_limit_s\":5,\"semantics\":\"" + semantics
+            + "\",\"value\":1}";
     }
 
     static String query(String id, String lane, String timeLeft) {
@@ -302,7 +307,8 @@
 
     @Test
     void badConfigurationEndsTheProgramWithOnePlainLine() throws Exception {
-        for (String text : List.of("{", "{}", "{\"listen\":\"nowhere\",\"discovery\":\"127.0.0.1:1\",\"settings\":{}}")) {
+        for (String text : List.of("{", "{}",
+            "{\"listen\":\"nowhere\",\"discovery\":\"127.0.0.1:1\",\"settings\":{}}")) {
             try (Program failing = new Program(Program.file(dir, text), "serve")) {
                 assertEquals(1, failing.exit(), text);
                 assertEquals(1, failing.said().lines().count(), failing.said());
