Use silent workers on and on, end half-sent queries, and tell a worker's restarts apart

Observed: a probe with a worker that sends no load reports was served four times, then every query was held to its deadline. A query that is begun and never ended kept its connection for good. Checked: the first answers took 3 ms, so not the links; Rules.send adds to sentSlots, and only Rules.reported takes it back (Rules.attemptEnded now does where a site has no reports). Changed too: 408 after 10 s; a Faktory process that comes back under the same wid is fresh, not warm; the core's own bound gives no made-up Retry-After; imports in order; README tells the decisions.

--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -13,7 +13,7 @@
  *
  * <p>The design: a pool of workers for each job class, sized by offered load; a threshold on the jobs
  * present, searched by revenue and shared among the dispatchers; admitted jobs held in arrival order and
- * released to their own pool. docs/design.md tells what departs from it and when. No clock, threads or I/O;
+ * released to their own pool. README.md tells what departs from it and when. No clock, threads or I/O;
  * not thread-safe; objects share nothing.
  */
 public final class Rules {
@@ -730,6 +730,10 @@
         w.out.remove(a);
         w.answeredAt = e.outcome() == Outcome.SERVED || e.outcome() == Outcome.FULL ? now : w.answeredAt;
         reported(w, e.report());
+        if (settings.reporting() == Reporting.NONE) { // else only a report says that what was sent has left
+            w.sentSlots = Math.max(0, w.sentSlots - job.ask.slots());
+            w.sentMemory = Math.max(0, w.sentMemory - job.ask.memory());
+        }
         health(a, e.outcome());
         if (e.closed() && !job.ended) {
             end(job);
--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -132,7 +132,7 @@
         });
         open++;
         if (open > MOST_OPEN) {
-            exchange.finish(Answer.throttled(1_000_000));
+            exchange.finish(Answer.throttled(0)); // the module was not asked, so there is no figure to give
             return exchange;
         }
         exchanges.put(query.id(), exchange);
--- a/src/main/java/damsonslip/faktory/Command.java
+++ b/src/main/java/damsonslip/faktory/Command.java
@@ -11,8 +11,8 @@
 sealed interface Command {
     ObjectMapper JSON = new ObjectMapper();
 
-    /** The first line of every connection; {@code wid} is empty for a producer. */
-    record Hello(int version, String wid, String passwordHash, List<String> labels) implements Command { }
+    /** The first line of every connection; {@code wid} is empty for a producer, {@code process} tells restarts apart. */
+    record Hello(int version, String wid, String process, String passwordHash, List<String> labels) implements Command { }
 
     /** Hands jobs in; {@code bulk} tells that there may be several, and that each has its own answer. */
     record Push(List<JsonNode> jobs, boolean bulk) implements Command { }
@@ -75,7 +75,8 @@
     private static Hello hello(JsonNode hello) {
         List<String> labels = new ArrayList<>();
         hello.path("labels").forEach(label -> labels.add(label.asText()));
-        return new Hello(hello.path("v").asInt(0), hello.path("wid").asText(""), hello.path("pwdhash").asText(""),
+        return new Hello(hello.path("v").asInt(0), hello.path("wid").asText(""),
+            hello.path("hostname").asText("") + ":" + hello.path("pid").asText(""), hello.path("pwdhash").asText(""),
             labels);
     }
 
--- a/src/main/java/damsonslip/faktory/Consumer.java
+++ b/src/main/java/damsonslip/faktory/Consumer.java
@@ -16,6 +16,7 @@
     record Offer(FaktoryLink link, List<String> queues, Loop.Timer timeout) { }
 
     final String wid;
+    final String process;
     final int zone;
     final int kind;
     final Set<FaktoryLink> links = new HashSet<>();
@@ -28,8 +29,9 @@
     /** What an operator asks of it, told with its next beat; or empty. */
     String asked = "";
 
-    Consumer(String wid, int zone, int kind, long startedUs) {
+    Consumer(String wid, String process, int zone, int kind, long startedUs) {
         this.wid = wid;
+        this.process = process;
         this.zone = zone;
         this.kind = kind;
         this.startedUs = startedUs;
--- a/src/main/java/damsonslip/faktory/Consumers.java
+++ b/src/main/java/damsonslip/faktory/Consumers.java
@@ -83,18 +83,21 @@
     /** A worker's connection has said HELLO. Guards fresh workers: until the store tells otherwise one is cold. */
     Consumer joined(Command.Hello hello, FaktoryLink link) {
         Consumer known = consumers.get(hello.wid());
-        if (known != null && known.status != Status.GONE) {
+        if (known != null && known.process.equals(hello.process())) {
             known.links.add(link);
             return known;
         }
+        if (known != null) { // another process under the same name: the one before is gone, and this one is cold
+            stop(known, Status.GONE);
+        }
         long now = loop.now();
-        Consumer fresh = new Consumer(hello.wid(), index(site.zoneNames(), hello.labels()),
+        Consumer fresh = new Consumer(hello.wid(), hello.process(), index(site.zoneNames(), hello.labels()),
             index(site.kindNames(), hello.labels()), now);
         fresh.links.add(link);
         fresh.beatUs = now;
         consumers.put(hello.wid(), fresh);
         list(fresh);
-        store.ask(s -> s.firstSeen(fresh.wid, now / 1000), sinceMs -> {
+        store.ask(s -> s.firstSeen(fresh.wid + "@" + fresh.process, now / 1000), sinceMs -> {
             if (sinceMs * 1000 < fresh.startedUs) {
                 fresh.startedUs = sinceMs * 1000;
                 list(fresh);
--- a/src/main/java/damsonslip/platform/clients/ClientLink.java
+++ b/src/main/java/damsonslip/platform/clients/ClientLink.java
@@ -3,6 +3,7 @@
 import damsonslip.core.Answer;
 import damsonslip.core.Asker;
 import damsonslip.core.Exchange;
+import damsonslip.core.Loop;
 import damsonslip.core.Query;
 import damsonslip.net.Link;
 import damsonslip.platform.http.Encoder;
@@ -16,12 +17,17 @@
 final class ClientLink extends Link implements Asker {
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
+    /** Within this time of its first bytes a query has to be whole. */
+    private static final long WHOLE_US = 10_000_000;
+
     private final ClientSide side;
     private final QueryReader reader = new QueryReader();
     private Exchange exchange;
     /** A message is being served, by a worker or by ourselves. */
     private boolean busy;
     private boolean leaving;
+    /** Runs while a message has begun and is not whole. */
+    private Loop.Timer overdue;
     long idleSinceUs;
 
     ClientLink(EndPoint endPoint, ClientSide side) {
@@ -44,9 +50,16 @@
             QueryHead head = reader.read(bytes);
             if (head != null) {
                 busy = true;
+                if (overdue != null) {
+                    overdue.cancel();
+                    overdue = null;
+                }
                 answerOrAsk(head);
-            } else if (reader.takeContinue()) {
-                write(() -> { }, ByteBuffer.wrap(CONTINUE));
+            } else {
+                if (reader.takeContinue()) {
+                    write(() -> { }, ByteBuffer.wrap(CONTINUE));
+                }
+                awaitTheRest();
             }
         } catch (QueryHead.Bad e) {
             busy = true;
@@ -56,6 +69,21 @@
         }
     }
 
+    /** Guards against clients that begin a query and never end it, which would fill the connections there are. */
+    private void awaitTheRest() {
+        if (reader.midway() && overdue == null) {
+            overdue = side.loop().in(WHOLE_US, () -> {
+                overdue = null;
+                if (!busy && !isClosed()) {
+                    busy = true;
+                    leaving = true;
+                    side.bad();
+                    reply(408, "the query did not come whole", HttpFields.build());
+                }
+            });
+        }
+    }
+
     /** A whole message that asks for something impossible leaves the connection usable. */
     private void answerOrAsk(QueryHead head) {
         try {
--- a/src/main/java/damsonslip/settings/SettingsReader.java
+++ b/src/main/java/damsonslip/settings/SettingsReader.java
@@ -1,5 +1,6 @@
 package damsonslip.settings;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import damsonslip.Dispatch.Effect;
 import damsonslip.Dispatch.Group;
 import damsonslip.Dispatch.Guarantees;
@@ -7,7 +8,6 @@
 import damsonslip.Dispatch.Limits;
 import damsonslip.Dispatch.Reporting;
 import damsonslip.Dispatch.Settings;
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/main/java/damsonslip/simhost/SimHost.java
+++ b/src/main/java/damsonslip/simhost/SimHost.java
@@ -1,5 +1,11 @@
 package damsonslip.simhost;
 
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import damsonslip.Dispatch.Action;
 import damsonslip.Dispatch.Cancel;
 import damsonslip.Dispatch.Event;
@@ -13,12 +19,6 @@
 import damsonslip.Rules;
 import damsonslip.settings.BadInput;
 import damsonslip.settings.SettingsReader;
-import com.fasterxml.jackson.core.JsonGenerator;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.json.JsonMapper;
 import java.io.BufferedOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
--- a/src/main/java/damsonslip/simhost/WireLine.java
+++ b/src/main/java/damsonslip/simhost/WireLine.java
@@ -1,5 +1,8 @@
 package damsonslip.simhost;
 
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.databind.JsonNode;
 import damsonslip.Dispatch;
 import damsonslip.Dispatch.AttemptEnded;
 import damsonslip.Dispatch.AttemptStarted;
@@ -14,9 +17,6 @@
 import damsonslip.Dispatch.Status;
 import damsonslip.Dispatch.TimerDue;
 import damsonslip.settings.BadInput;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonToken;
-import com.fasterxml.jackson.databind.JsonNode;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
--- a/src/test/java/damsonslip/faktory/FaktoryTest.java
+++ b/src/test/java/damsonslip/faktory/FaktoryTest.java
@@ -216,6 +216,21 @@
         assertEquals("job-00003", worker.fetch());
     }
 
+    /** A worker without any connection is gone: what may be repeated runs elsewhere, long before its deadline. */
+    @Test
+    void aVanishedWorkersJobIsRepeatedWhereItsClassAllows() throws Exception {
+        FaktoryPeer producer = producer();
+        FaktoryPeer vanishing = peer("w1");
+        producer.push("job-safe1", "status-read", 8, "");
+        assertEquals("job-safe1", vanishing.fetch());
+        vanishing.close();
+        FaktoryPeer other = peer("w2");
+        String jid = other.fetch();
+        assertEquals("job-safe1", jid == null ? other.fetch() : jid);
+        other.ack("job-safe1");
+        awaitState(producer, "job-safe1", "success");
+    }
+
     @Test
     void aRefusalAtTheDoorSaysWhenToComeBack() throws Exception {
         FaktoryPeer producer = producer();
--- a/src/test/java/damsonslip/platform/PlatformTest.java
+++ b/src/test/java/damsonslip/platform/PlatformTest.java
@@ -170,6 +170,29 @@
         assertTrue(jobs("a", "b") >= 3, "a repeatable one is tried again");
     }
 
+    /** Larger than any buffer on the way, in both directions, and two queries written at once. */
+    @Test
+    void largeBodiesPassWholeAndQueriesWrittenAheadAreAnsweredInTurn() throws Exception {
+        String large = "x".repeat(60_000);
+        start(worker("a", (peer, job) -> peer.answerLines(
+            state(job, "done", ",\"result\":\"" + job.body() + "\",\"load\":{\"x0\":3}"))));
+        String first = query("q1", "read", "4000m").replace("Content-Length: 4\r\n\r\nbody",
+            "Content-Length: 60000\r\n\r\n" + large);
+        try (Peer client = Peer.connect(port).send(first + query("q2", "read", "4000m"))) {
+            assertEquals(large, client.message().body());
+            assertEquals("body", client.message().body());
+        }
+    }
+
+    /** Without load reports nothing but the ends of jobs tells that their slots are free again. */
+    @Test
+    void aWorkerThatNeverReportsItsLoadIsUsedOnAndOn() throws Exception {
+        start(worker("a", (peer, job) -> peer.answerLines(state(job, "done", ",\"result\":\"r\""))));
+        for (int i = 0; i < 12; i++) {
+            assertEquals(200, ask(query("q" + i, "submit", "1000m")).status());
+        }
+    }
+
     @Test
     void whatProvablyNeverRanIsSentElsewhere() throws Exception {
         Peer.Server closed = new Peer.Server(0, peer -> { });
