--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -209,7 +209,7 @@
 
     private void listed(ListUpdate update) {
         if (update.mode() == ListMode.FAILED) {
-            long wait = LIST_RETRY_US << Math.min(listFailures++, 4);
+            long wait = LIST_RETRY_US << Math.min(listFailures++, 2);
             wait = Math.min(wait, Math.max(LIST_RETRY_US, rules.askEveryUs() / 2));
             timer(wait / 2 + random.nextLong(wait), LIST);
             return;
--- a/src/main/java/damsonslip/core/Front.java
+++ b/src/main/java/damsonslip/core/Front.java
@@ -11,6 +11,12 @@
     /** Begins to leave in good order; {@link Phase.State#ENDED} tells when that is done. */
     void leave();
 
+    /**
+     * The operator has replaced the settings; called on a thread of its own. What can change while serving does;
+     * settings that cannot be used are told of and change nothing.
+     */
+    void reload();
+
     /** Gives up what is held open, once everything has ended. */
     default void close() { }
 
--- a/src/main/java/damsonslip/faktory/Faktory.java
+++ b/src/main/java/damsonslip/faktory/Faktory.java
@@ -40,7 +40,8 @@
     private final Phase phase;
     private final Counters counters;
     private final FaktoryConfig config;
-    private final Password password;
+    private final String file;
+    private volatile Password password;
     private final Driver driver;
     private final AsyncStore store;
     private final Consumers consumers;
@@ -50,11 +51,13 @@
     private volatile int open;
     private Closeable listener;
 
-    public Faktory(Loop loop, Phase phase, Counters counters, FaktoryConfig config) throws BadInput {
+    public Faktory(Loop loop, Phase phase, Counters counters, FaktoryConfig config, String file)
+        throws BadInput {
         this.loop = loop;
         this.phase = phase;
         this.counters = counters;
         this.config = config;
+        this.file = file;
         this.password = new Password(config.password());
         this.startedUs = loop.now();
         this.driver = new Driver(config.site().settings(), new SecureRandom().nextLong(), loop, counters);
@@ -90,6 +93,18 @@
         LOG.info("{} speaks Faktory on {}, store {}", config.name(), config.listen(), config.store());
     }
 
+    /** A new password holds for connections that come from now on. */
+    @Override
+    public void reload() {
+        try {
+            FaktoryConfig fresh = FaktoryConfig.read(file);
+            password = new Password(fresh.password());
+            LOG.info("reload: the password is read again; anything else takes effect at the next start");
+        } catch (BadInput e) {
+            LOG.warn("reload: {}; what held before goes on", e.getMessage());
+        }
+    }
+
     /** What is held and not handed out stays in the store for the next start; what workers have is waited for. */
     @Override
     public void leave() {
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -18,6 +18,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Collections;
+import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -33,15 +34,19 @@
     private final Phase phase;
     private final Counters counters;
     private final NodeConfig config;
+    private final Map<String, String> environment;
     private final Driver driver;
     private ClientSide clients;
+    private ServerSide servers;
     private Closeable listener;
 
-    public Platform(Loop loop, Phase phase, Counters counters, NodeConfig config) {
+    public Platform(Loop loop, Phase phase, Counters counters, NodeConfig config,
+                    Map<String, String> environment) {
         this.loop = loop;
         this.phase = phase;
         this.counters = counters;
         this.config = config;
+        this.environment = environment;
         this.driver = new Driver(config.site().settings(), config.seed(), loop, counters);
     }
 
@@ -52,7 +57,7 @@
         Links links = Links.start(loop, config.site().connectUs() / 1000);
         int sockets = config.sockets() - OTHER_SOCKETS;
         clients = new ClientSide(links, config.site(), driver, phase, counters, sockets / 2);
-        ServerSide servers = new ServerSide(links, config.site(), driver, counters, discovery, sockets / 2);
+        servers = new ServerSide(links, config.site(), driver, counters, discovery, sockets / 2);
         HostGroup.Update known = known(servers.hosts());
         loop.execute(() -> {
             driver.begin(servers, servers.begin(known));
@@ -70,6 +75,22 @@
         }
     }
 
+    /** Follows discovery to where the file names it now; open executions go on, and so does the list as it stands. */
+    @Override
+    public void reload() {
+        try {
+            NodeConfig fresh = NodeConfig.read(environment);
+            InetSocketAddress discovery = address("discovery", fresh.discovery());
+            if (!fresh.listen().equals(config.listen()) || !fresh.site().equals(config.site())) {
+                LOG.warn("reload: another listen or other settings take effect at the next start only");
+            }
+            LOG.info("reload: discovery is at {}", fresh.discovery());
+            loop.execute(() -> servers.discoverAt(discovery));
+        } catch (BadInput e) {
+            LOG.warn("reload: {}; what held before goes on", e.getMessage());
+        }
+    }
+
     private HostGroup.Update known(HostGroup hosts) throws BadInput {
         if (config.known().isMissingNode() || config.known().isNull()) {
             return new HostGroup.Update(0, true, Collections.emptyList());
--- a/src/main/java/damsonslip/platform/servers/Discovery.java
+++ b/src/main/java/damsonslip/platform/servers/Discovery.java
@@ -20,13 +20,15 @@
 final class Discovery {
     private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
     /** A watch says something every two seconds; one that is silent for longer than this is dead. */
-    private static final long SILENT_US = 5_000_000;
+    private static final long SILENT_US = 3_500_000;
     private static final int MOST_LINE = 4 * 1024 * 1024;
 
     private final Links links;
-    private final InetSocketAddress address;
     private final HostGroup hosts;
     private final Driver driver;
+    private InetSocketAddress address;
+    /** The number of the newest attempt to watch; of older ones nothing is told any more. */
+    private int newest;
     private Watch current;
 
     Discovery(Links links, InetSocketAddress address, HostGroup hosts, Driver driver) {
@@ -36,36 +38,69 @@
         this.driver = driver;
     }
 
-    /** Begins a watch; an earlier one ends without a word. */
+    /**
+     * Discovery has moved: watches it there at once. Guards against the wait for the old watch to end, during
+     * which news would go unheard; the old one counts until the new one is up.
+     */
+    void moveTo(InetSocketAddress next) {
+        if (!next.equals(address)) {
+            address = next;
+            hosts.forgetGeneration();
+            connect();
+        }
+    }
+
+    /** Begins a watch, unless there is one. */
     void watch() {
-        if (current != null) {
-            current.end();
+        if (current == null || current.number != newest) {
+            connect();
         }
+    }
+
+    private void connect() {
+        int number = ++newest;
         links.connect(address, new Links.Opening() {
             @Override
             public Link open(EndPoint endPoint) {
-                return new Watch(endPoint, links.loop());
+                return new Watch(endPoint, links.loop(), number);
             }
 
             @Override
             public void failed() {
-                driver.listed(ListMode.FAILED, List.of());
+                over(number, "it cannot be reached");
             }
         });
     }
 
+    /** Tells the module that the list is no longer watched, unless a newer watch is on its way. */
+    private void over(int number, String why) {
+        LOG.info("the watch on discovery is over: {}", why);
+        if (number == newest) {
+            driver.listed(ListMode.FAILED, List.of());
+        }
+    }
+
     private final class Watch extends Link implements AnswerReader.Taker {
         private final AnswerReader reader = new AnswerReader(this);
         private final Lines lines = new Lines(MOST_LINE);
         private Loop.Timer silent;
+        private final int number;
         private int status;
 
-        Watch(EndPoint endPoint, Loop loop) {
+        Watch(EndPoint endPoint, Loop loop, int number) {
             super(endPoint, loop);
+            this.number = number;
         }
 
         @Override
         protected void opened() {
+            if (number != newest) {
+                end();
+                return;
+            }
+            if (current != null) {
+                current.end();
+            }
             current = this;
             heard();
             HttpFields fields = HttpFields.build().add("Host", "discovery");
@@ -130,20 +165,20 @@
         private void fail(String why) {
             if (!isClosed()) {
                 end();
-                LOG.info("the watch on discovery is over: {}", why);
-                driver.listed(ListMode.FAILED, List.of());
+                over(number, why);
             }
         }
 
         @Override
         protected void lost() {
-            LOG.info("the watch on discovery is over: the connection broke");
-            driver.listed(ListMode.FAILED, List.of());
+            over(number, "the connection broke");
         }
 
         @Override
         protected void released() {
-            silent.cancel();
+            if (silent != null) {
+                silent.cancel();
+            }
             if (current == this) {
                 current = null;
             }
--- a/src/main/java/damsonslip/platform/servers/ServerSide.java
+++ b/src/main/java/damsonslip/platform/servers/ServerSide.java
@@ -157,6 +157,11 @@
         driver.probed(worker, ok, report);
     }
 
+    /** Discovery has moved there. */
+    public void discoverAt(InetSocketAddress address) {
+        discovery.moveTo(address);
+    }
+
     @Override
     public void watch() {
         discovery.watch();
--- a/src/main/java/damsonslip/program/Serve.java
+++ b/src/main/java/damsonslip/program/Serve.java
@@ -23,6 +23,7 @@
 
     /** Serves the platform, whose configuration the environment names, or what an operator's file sets up. */
     static void start(String file, Map<String, String> environment) throws BadInput, IOException {
+        HangUp hangUp = HangUp.caught();
         Loop loop = new Loop();
         Phase phase = new Phase();
         Counters counters = new Counters();
@@ -30,17 +31,18 @@
             Front front;
             String console;
             if (file == null) {
-                front = new Platform(loop, phase, counters, NodeConfig.read(environment));
+                front = new Platform(loop, phase, counters, NodeConfig.read(environment), environment);
                 console = environment.getOrDefault("DAMSONSLIP_CONSOLE", "");
             } else {
                 FaktoryConfig config = FaktoryConfig.read(file);
-                front = new Faktory(loop, phase, counters, config);
+                front = new Faktory(loop, phase, counters, config, file);
                 console = config.console();
             }
             front.start();
             if (!console.isBlank()) {
                 new Control(loop, phase, counters, front).listen(console);
             }
+            hangUp.then(front::reload);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(front, phase, counters), "stop"));
         } catch (BadInput | IOException e) {
             loop.stop();
--- a/src/test/java/damsonslip/kit/Program.java
+++ b/src/test/java/damsonslip/kit/Program.java
@@ -15,11 +15,13 @@
 
 /** The real program as a process of its own, started as an operator would start it. */
 public final class Program implements AutoCloseable {
+    private final Path config;
     private final Process process;
     private final StringBuilder said = new StringBuilder();
     private final Thread reader;
 
     public Program(Path config, String... args) throws IOException {
+        this.config = config;
         List<String> command = new ArrayList<>(List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
             "-XX:+UseSerialGC", "-cp",
@@ -60,6 +62,15 @@
         return this;
     }
 
+    /** Replaces its configuration, where a text is given, and has it read again. */
+    public Program reload(String text) throws IOException, InterruptedException {
+        if (text != null) {
+            Files.writeString(config, text);
+        }
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+        return this;
+    }
+
     /** Asks it to end, as a planned restart does, and goes on. */
     public void terminate() {
         process.toHandle().destroy(); // Process.destroy would close its output as well
--- a/src/test/java/damsonslip/platform/PlatformTest.java
+++ b/src/test/java/damsonslip/platform/PlatformTest.java
@@ -10,6 +10,7 @@
 import damsonslip.kit.Peer.Message;
 import damsonslip.kit.Program;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
@@ -54,9 +55,13 @@
 
     @BeforeEach
     void discovery() throws IOException {
-        discovery = new Peer.Server(0, peer -> {
+        discovery = discovery(news, watches);
+    }
+
+    private Peer.Server discovery(List<String> news, List<String> watches) throws IOException {
+        Peer.Server server = new Peer.Server(0, peer -> {
             Message asked = peer.message();
-            int told = news.size();
+            int told = watches.isEmpty() ? 0 : news.size();
             watches.add(asked.first());
             peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
             for (int i = 1; true; i++) {
@@ -69,7 +74,8 @@
                 Thread.sleep(20);
             }
         });
-        servers.add(discovery);
+        servers.add(server);
+        return server;
     }
 
     @AfterEach
@@ -268,6 +274,30 @@
         assertEquals(8, jobs("b"));
     }
 
+    /** The JVM would exit on SIGHUP, and a scheduler that kept to the old address would go on without news. */
+    @Test
+    void aHangUpMovesTheWatchAndLeavesOpenExecutionsAlone() throws Exception {
+        String a = worker("a", (peer, job) -> {
+            Thread.sleep(1_500);
+            SERVE.on(peer, job);
+        });
+        start(a);
+        Program.await("a watch", () -> watches.size() == 1);
+        Peer early = Peer.connect(port).send(query("q1", "submit", "4000m"));
+        Program.await("it is sent", () -> jobs("a") == 1);
+        program.reload("{\"listen\":").awaitWord("reload: config");
+        List<String> novelWatches = new CopyOnWriteArrayList<>();
+        int before = discovery.port();
+        discovery = discovery(List.of(list(3, true, a.replace("ready", "draining"), worker("b", SERVE))), novelWatches);
+        program.reload(Files.readString(config(list(7, true))));
+        Program.await("a watch at the new address", () -> novelWatches.size() == 1);
+        assertTrue(novelWatches.get(0).contains("after=0"), "the new list is asked for whole: " + novelWatches);
+        assertEquals(1, watches.size(), "nothing more is asked of the old one, on port " + before);
+        assertEquals(200, ask(query("q2", "submit", "2000m")).status());
+        assertEquals(1, jobs("b"));
+        assertEquals("r-q1", early.message().body());
+    }
+
     @Test
     void aBadLineFromDiscoveryIsToldPlainlyAndTheListAskedForAgain() throws Exception {
         start(worker("a", SERVE));
@@ -324,6 +354,7 @@
         Message answer = early.message();
         assertEquals("r-q1", answer.body());
         assertEquals("close", answer.field("Connection"));
+        program.reload(null);
         assertEquals(143, program.exit());
         assertTrue(program.said().contains("queries_taken=2 answers_served=2 executions_sent=2"), program.said());
     }
