--- a/src/main/java/damsonslip/faktory/Faktory.java
+++ b/src/main/java/damsonslip/faktory/Faktory.java
@@ -12,6 +12,7 @@
 import damsonslip.net.Address;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
+import damsonslip.net.Room;
 import damsonslip.settings.BadInput;
 import damsonslip.store.AsyncStore;
 import damsonslip.store.JobRecord;
@@ -22,9 +23,8 @@
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.time.Instant;
-import java.util.HashSet;
+import java.util.Comparator;
 import java.util.List;
-import java.util.Set;
 import org.eclipse.jetty.io.EndPoint;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -32,7 +32,6 @@
 /** The Faktory front put together: producers that push, workers that fetch, a store that remembers. */
 public final class Faktory implements Front, Links.Accepting {
     private static final Logger LOG = LoggerFactory.getLogger(Faktory.class);
-    private static final int MOST_LINKS = 800;
     private static final long LEAVING_US = 300_000;
     private static final long CONNECT_MS = 250;
 
@@ -46,9 +45,8 @@
     private final AsyncStore store;
     private final Consumers consumers;
     private final Producers producers;
-    private final Set<FaktoryLink> links = new HashSet<>();
+    private final Room<FaktoryLink> links;
     private final long startedUs;
-    private volatile int open;
     private Closeable listener;
 
     public Faktory(Loop loop, Phase phase, Counters counters, FaktoryConfig config, String file)
@@ -60,6 +58,8 @@
         this.file = file;
         this.password = new Password(config.password());
         this.startedUs = loop.now();
+        this.links = new Room<>(config.links(), config.links() / 8, link -> !link.greeted(),
+            Comparator.comparingLong(FaktoryLink::openedUs));
         this.driver = new Driver(config.site().settings(), new SecureRandom().nextLong(), loop, counters);
         this.store = new AsyncStore(loop, store(config));
         this.consumers = new Consumers(loop, config.site(), driver, store, counters);
@@ -139,23 +139,22 @@
 
     @Override
     public boolean mayAccept() {
-        return open < MOST_LINKS;
+        return links.mayAccept();
     }
 
     @Override
     public Link open(EndPoint endPoint) {
+        links.coming();
         return new FaktoryLink(endPoint, this);
     }
 
     void opened(FaktoryLink link) {
         counters.add(Count.CLIENT_LINKS_OPENED);
-        links.add(link);
-        open = links.size();
+        links.opened(link);
     }
 
     void closed(FaktoryLink link) {
-        links.remove(link);
-        open = links.size();
+        links.closed(link);
         if (link.consumer() != null) {
             consumers.left(link.consumer(), link);
         }
@@ -211,7 +210,7 @@
         tasks.putObject("Workers").put("size", consumers.all().size());
         tasks.putObject("Working").put("size", consumers.inHand());
         ObjectNode server = info.putObject("server");
-        server.put("description", "damsonslip").put("faktory_version", "2").put("connections", links.size())
+        server.put("description", "damsonslip").put("faktory_version", "2").put("connections", links.all().size())
             .put("uptime", (loop.now() - startedUs) / 1_000_000)
             .put("used_memory_mb", Runtime.getRuntime().totalMemory() >> 20);
         ObjectNode counted = info.putObject("counters");
--- a/src/main/java/damsonslip/faktory/FaktoryConfig.java
+++ b/src/main/java/damsonslip/faktory/FaktoryConfig.java
@@ -19,10 +19,13 @@
  * @param store         {@code redis://host:port}, or {@code memory}
  * @param storePassword the store's password, or empty
  * @param console       where the console connects, or empty
+ * @param links         how many connections it holds at the most
  * @param site          classes, limits and the figures of the rules
  */
 public record FaktoryConfig(String name, String listen, String password, String store, String storePassword,
-                            String console, Site site) {
+                            String console, int links, Site site) {
+    private static final int LINKS = 800;
+
     public static FaktoryConfig read(String file) throws BadInput {
         try {
             JsonNode root = new TomlMapper().readTree(Files.readString(Path.of(file)));
@@ -32,6 +35,7 @@
             }
             return new FaktoryConfig(text(root, "name"), text(root, "listen"), root.path("password").asText(""),
                 store, root.path("store_password").asText(""), root.path("console").asText(""),
+                Math.max(1, root.path("links").asInt(LINKS)),
                 Site.read(root.path("settings")));
         } catch (JsonProcessingException e) {
             throw new BadInput("config: " + file + ": not TOML: "
--- a/src/main/java/damsonslip/faktory/FaktoryLink.java
+++ b/src/main/java/damsonslip/faktory/FaktoryLink.java
@@ -12,13 +12,13 @@
  */
 final class FaktoryLink extends Link {
     private static final int MOST_LINE = 256 * 1024;
-    private static final int MOST_AHEAD = 1_000;
-    private static final long HELLO_US = 5_000_000;
+    private static final long HELLO_US = 2_000_000;
 
     private final Faktory faktory;
     private final String salt = Password.salt();
     private final Lines lines = new Lines(MOST_LINE);
     private final ArrayDeque<String> ahead = new ArrayDeque<>();
+    private long openedUs;
     private boolean greeted;
     private boolean answering;
     /** The worker that this connection belongs to, or null for a producer's. */
@@ -29,12 +29,21 @@
         this.faktory = faktory;
     }
 
+    boolean greeted() {
+        return greeted;
+    }
+
+    long openedUs() {
+        return openedUs;
+    }
+
     Consumer consumer() {
         return consumer;
     }
 
     @Override
     protected void opened() {
+        openedUs = faktory.loop().now();
         faktory.opened(this);
         String proof = faktory.password().needed() ? ",\"s\":\"" + salt + "\",\"i\":" + Password.ROUNDS : "";
         write(() -> { }, Reply.simple("HI {\"v\":2" + proof + "}"));
@@ -47,11 +56,14 @@
 
     @Override
     protected void received(ByteBuffer bytes) {
+        if (answering) {
+            return; // guards the memory: what a peer sends ahead stays with it until its turn comes
+        }
         byte[] part = new byte[bytes.remaining()];
         bytes.get(part);
         List<String> whole = lines.take(part);
-        if (whole == null || ahead.size() + whole.size() > MOST_AHEAD) {
-            refuse("ERR too much at once");
+        if (whole == null) {
+            refuse("ERR a line too long");
             return;
         }
         ahead.addAll(whole);
@@ -82,6 +94,13 @@
         }
     }
 
+    private void goOn() {
+        next();
+        if (!answering && ahead.isEmpty()) {
+            again();
+        }
+    }
+
     private void greet(Command command) throws Command.Malformed {
         if (!(command instanceof Command.Hello hello)) {
             throw new Command.Malformed("HELLO comes first");
@@ -103,9 +122,11 @@
     }
 
     void reply(ByteBuffer reply, Runnable written) {
-        write(written, reply);
-        answering = false;
-        faktory.loop().execute(this::next);
+        write(() -> {
+            written.run();
+            answering = false;
+            faktory.loop().execute(this::goOn);
+        }, reply);
     }
 
     /** A last word, and the connection ends. */
--- a/src/main/java/damsonslip/net/Link.java
+++ b/src/main/java/damsonslip/net/Link.java
@@ -9,15 +9,20 @@
 import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * One open connection. Jetty's selector only tells that there is something to do; reading, deciding and writing
  * all happen on the {@link Loop}, so that subclasses need no locks.
  */
 public abstract class Link extends AbstractConnection {
+    private static final Logger LOG = LoggerFactory.getLogger(Link.class);
     private static final int IN_BUFFER = 8 * 1024;
     /** How long a peer may take to close its side after the last answer. */
     private static final long PARTING_US = 500_000;
+    /** So much of what still comes after the last answer is read and dropped; the rest stays with the system. */
+    private static final int MOST_DROPPED = 128 * 1024;
 
     private record Out(ByteBuffer[] bytes, Runnable written) { }
 
@@ -28,6 +33,7 @@
     private boolean closed;
     private boolean closeWhenWritten;
     private boolean parting;
+    private int dropped;
 
     protected Link(EndPoint endPoint, Loop loop) {
         super(endPoint, loop::execute);
@@ -47,6 +53,11 @@
         return closed;
     }
 
+    /** Whether only the peer's goodbye is awaited. */
+    public final boolean isParting() {
+        return parting;
+    }
+
     /** Closes the connection; nothing is told of it afterwards. */
     public final void end() {
         if (!closed) {
@@ -59,6 +70,7 @@
     /**
      * Closes the connection once everything is written. Guards the last answer: closing with bytes unread would
      * reset the connection, and the peer might never see what was written, so these are read and dropped first.
+     * That is bounded, since a peer that sends 60 MB at full speed would keep the loop from everybody else.
      */
     protected final void endWhenWritten() {
         closeWhenWritten = true;
@@ -210,6 +222,10 @@
                 }
                 if (parting) {
                     BufferUtil.clear(in);
+                    dropped += got;
+                    if (dropped > MOST_DROPPED) {
+                        return;
+                    }
                     if (got > 0) {
                         continue;
                     }
@@ -230,6 +246,9 @@
             // a full buffer that nobody takes from stays unread: what a peer sends ahead is bounded by it
         } catch (IOException e) {
             broken();
+        } catch (RuntimeException e) { // guards against a link that nobody reads from any more, yet stays open
+            LOG.error("a connection is given up", e);
+            broken();
         }
     }
 
--- /dev/null
+++ b/src/main/java/damsonslip/net/Room.java
@@ -0,0 +1,62 @@
+package damsonslip.net;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
+
+/**
+ * The connections that there is room for. Guards usual clients against those that open hundreds and say nothing:
+ * when it is full, the newest is let in and the one that is missed least has to go. All but {@link #mayAccept} and
+ * {@link #coming} is called on the loop.
+ */
+public final class Room<L extends Link> {
+    private final int most;
+    private final int overflow;
+    private final Predicate<L> mayGo;
+    private final Comparator<L> missed;
+    private final Set<L> open = new LinkedHashSet<>();
+    private final AtomicInteger held = new AtomicInteger();
+
+    /**
+     * @param most     so many stay
+     * @param overflow so many more may be held for the moment until one has gone
+     * @param mayGo    whether a connection may be ended to make room
+     * @param missed   the order in which they go
+     */
+    public Room(int most, int overflow, Predicate<L> mayGo, Comparator<L> missed) {
+        this.most = most;
+        this.overflow = overflow;
+        this.mayGo = mayGo;
+        this.missed = missed;
+    }
+
+    /** Whether one more can be held at all. */
+    public boolean mayAccept() {
+        return held.get() < most + overflow;
+    }
+
+    /** A connection was accepted, and will be told as opened and closed. */
+    public void coming() {
+        held.incrementAndGet();
+    }
+
+    /** Takes it in; if all others are needed, it is the one that goes. */
+    public void opened(L link) {
+        open.add(link);
+        if (open.size() > most) {
+            open.stream().filter(other -> other != link).filter(mayGo).min(missed).orElse(link).end();
+        }
+    }
+
+    public void closed(L link) {
+        open.remove(link);
+        held.decrementAndGet();
+    }
+
+    public Collection<L> all() {
+        return open;
+    }
+}
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -28,7 +28,9 @@
     /** Clients and their front go on as before for a while after a stop is told; nobody may find the door shut. */
     private static final long LEAVING_US = 700_000;
     /** Descriptors for what is neither a client's nor a worker's connection: files, the selector, discovery. */
-    private static final int OTHER_SOCKETS = 64;
+    private static final int OTHER_SOCKETS = 24;
+    /** One part of so many is for connections that were accepted just now and for which others have yet to go. */
+    private static final int OVERFLOW_PART = 8;
 
     private final Loop loop;
     private final Phase phase;
@@ -55,8 +57,9 @@
         InetSocketAddress listen = address("listen", config.listen());
         InetSocketAddress discovery = address("discovery", config.discovery());
         Links links = Links.start(loop, config.site().connectUs() / 1000);
-        int sockets = config.sockets() - OTHER_SOCKETS;
-        clients = new ClientSide(links, config.site(), driver, phase, counters, sockets / 2);
+        int overflow = config.sockets() / OVERFLOW_PART;
+        int sockets = config.sockets() - OTHER_SOCKETS - overflow;
+        clients = new ClientSide(links, config.site(), driver, phase, counters, sockets / 2, overflow);
         servers = new ServerSide(links, config.site(), driver, counters, discovery, sockets / 2);
         HostGroup.Update known = known(servers.hosts());
         loop.execute(() -> {
--- a/src/main/java/damsonslip/platform/clients/ClientLink.java
+++ b/src/main/java/damsonslip/platform/clients/ClientLink.java
@@ -17,8 +17,8 @@
 final class ClientLink extends Link implements Asker {
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
-    /** Within this time of its first bytes a query has to be whole. */
-    private static final long WHOLE_US = 10_000_000;
+    /** Within this time of the connection's start, or of its first bytes, a query has to be whole. */
+    private static final long WHOLE_US = 2_000_000;
 
     private final ClientSide side;
     private final QueryReader reader = new QueryReader();
@@ -26,8 +26,11 @@
     /** A message is being served, by a worker or by ourselves. */
     private boolean busy;
     private boolean leaving;
-    /** Runs while a message has begun and is not whole. */
+    /** Runs while a message is awaited, the first one from the start on, others once they have begun. */
     private Loop.Timer overdue;
+    /** Whole messages that could be read, and those of them that a worker has served. */
+    private int whole;
+    private int served;
     long idleSinceUs;
 
     ClientLink(EndPoint endPoint, ClientSide side) {
@@ -38,59 +41,84 @@
     @Override
     protected void opened() {
         idleSinceUs = side.loop().now();
+        overdue = side.loop().in(WHOLE_US, this::overdue);
         side.opened(this);
     }
 
     @Override
     protected void received(ByteBuffer bytes) {
-        if (busy || leaving) {
+        if (leaving) {
+            return;
+        }
+        if (busy) {
+            checkAhead(bytes);
             return;
         }
         try {
             QueryHead head = reader.read(bytes);
             if (head != null) {
                 busy = true;
-                if (overdue != null) {
-                    overdue.cancel();
-                    overdue = null;
+                whole++;
+                cancelOverdue();
+                if (!QueryReader.mayBegin(bytes)) {
+                    throw new QueryHead.Bad(400, "longer than it says");
                 }
-                answerOrAsk(head);
+                ask(head);
             } else {
                 if (reader.takeContinue()) {
                     write(() -> { }, ByteBuffer.wrap(CONTINUE));
                 }
-                awaitTheRest();
+                if (reader.midway() && overdue == null) {
+                    overdue = side.loop().in(WHOLE_US, this::overdue);
+                }
             }
         } catch (QueryHead.Bad e) {
-            busy = true;
-            side.bad();
+            refuse(e);
+        }
+    }
+
+    /**
+     * Looks at what has come behind the query at hand. Guards against a length that is too small: the rest of the
+     * body can be no query, and what was cut off must not be served as though it were one.
+     */
+    private void checkAhead(ByteBuffer bytes) {
+        if (QueryReader.mayBegin(bytes)) {
+            return;
+        }
+        if (exchange == null) { // its answer is being written already
             leaving = true;
-            reply(e.status(), e.getMessage(), HttpFields.build());
+            return;
         }
+        side.driver().gone(exchange);
+        exchange = null;
+        refuse(new QueryHead.Bad(400, "longer than it says"));
     }
 
-    /** Guards against clients that begin a query and never end it, which would fill the connections there are. */
-    private void awaitTheRest() {
-        if (reader.midway() && overdue == null) {
-            overdue = side.loop().in(WHOLE_US, () -> {
-                overdue = null;
-                if (!busy && !isClosed()) {
-                    busy = true;
-                    leaving = true;
-                    side.bad();
-                    reply(408, "the query did not come whole", HttpFields.build());
-                }
-            });
+    /** An error is the last thing on a connection: who has sent one bad message may have hidden others in it. */
+    private void refuse(QueryHead.Bad bad) {
+        busy = true;
+        leaving = true;
+        side.bad();
+        reply(bad.status(), bad.getMessage(), HttpFields.build());
+    }
+
+    /** Guards against clients that say nothing, or never end what they say: these would fill all the room there is. */
+    private void overdue() {
+        overdue = null;
+        if (busy || isClosed()) {
+            return;
+        }
+        if (reader.midway()) {
+            refuse(new QueryHead.Bad(408, "the query did not come whole"));
+        } else {
+            end();
         }
     }
 
-    /** A whole message that asks for something impossible leaves the connection usable. */
-    private void answerOrAsk(QueryHead head) {
-        try {
-            ask(head);
-        } catch (QueryHead.Bad e) {
-            side.bad();
-            reply(e.status(), e.getMessage(), HttpFields.build());
+    private void cancelOverdue() {
+        if (overdue != null) {
+            overdue.cancel();
+            overdue = null;
         }
     }
 
@@ -98,19 +126,14 @@
         switch (head.path()) {
             case "/api" -> {
                 if (!head.method().equals("POST")) {
-                    reply(405, "POST only", HttpFields.build().add("Allow", "POST"));
-                    return;
-                }
-                Query query = head.query(side.site(), side.loop().now());
-                if (side.driver().holds(query.id())) {
-                    throw new QueryHead.Bad(400, "this id is in use: " + query.id());
+                    throw new QueryHead.Bad(405, "POST only");
                 }
                 // the answer may come within the call, before there is an exchange to remember
-                Exchange taken = side.driver().take(query, this);
+                Exchange taken = side.take(head.query(side.site(), side.loop().now()), this);
                 exchange = taken.closed() ? null : taken;
             }
             case "/healthz" -> reply(side.ready() ? 200 : 503, side.ready() ? "ok" : "leaving", HttpFields.build());
-            default -> reply(404, "no such path", HttpFields.build());
+            default -> throw new QueryHead.Bad(404, "no such path");
         }
     }
 
@@ -119,7 +142,10 @@
         exchange = null;
         HttpFields.Mutable fields = HttpFields.build();
         switch (answer.kind()) {
-            case SERVED -> reply(200, answer.result(), fields);
+            case SERVED -> {
+                served++;
+                reply(200, answer.result(), fields);
+            }
             case THROTTLED -> {
                 if (answer.retryAfterUs() > 0) {
                     fields.add("Retry-After", String.format(Locale.ROOT, "%.3f", answer.retryAfterUs() / 1e6));
@@ -158,6 +184,16 @@
         return !busy && !reader.midway();
     }
 
+    /** Whether it may be ended to make room: nothing that it has asked for is under way. */
+    boolean mayGo() {
+        return !busy || isParting();
+    }
+
+    /** How much it would be missed: usual clients send at once, get their results, and come back. */
+    int worth() {
+        return isParting() ? 0 : whole == 0 ? 1 : served == 0 ? 2 : 3;
+    }
+
     @Override
     protected void lost() {
         if (exchange != null) {
@@ -167,6 +203,7 @@
 
     @Override
     protected void released() {
+        cancelOverdue();
         side.closed(this);
     }
 }
--- a/src/main/java/damsonslip/platform/clients/ClientSide.java
+++ b/src/main/java/damsonslip/platform/clients/ClientSide.java
@@ -3,39 +3,55 @@
 import damsonslip.core.Counters;
 import damsonslip.core.Counters.Count;
 import damsonslip.core.Driver;
+import damsonslip.core.Exchange;
 import damsonslip.core.Loop;
 import damsonslip.core.Phase;
 import damsonslip.core.Phase.State;
+import damsonslip.core.Query;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
+import damsonslip.net.Room;
 import damsonslip.settings.Site;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Comparator;
-import java.util.LinkedHashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Set;
+import java.util.Map;
 import org.eclipse.jetty.io.EndPoint;
 
 /** Takes queries in from clients and gives them their answers. */
 public final class ClientSide implements Links.Accepting {
+    /** Ids of queries that are remembered: more than come in within the longest deadline. */
+    private static final int MOST_TAKEN = 4_000;
+
     private final Links links;
     private final Site site;
     private final Driver driver;
     private final Phase phase;
     private final Counters counters;
-    private final int most;
-    private final Set<ClientLink> open = new LinkedHashSet<>();
-    private volatile int accepted;
+    private final Room<ClientLink> room;
+    /** The ids of the queries taken lately, the oldest first. */
+    private final Map<String, Boolean> taken = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MOST_TAKEN;
+        }
+    };
 
-    public ClientSide(Links links, Site site, Driver driver, Phase phase, Counters counters, int mostLinks) {
+    /** At most so many connections are kept, with some more for the moment until others have gone. */
+    public ClientSide(Links links, Site site, Driver driver, Phase phase, Counters counters, int mostLinks,
+                      int overflow) {
         this.links = links;
         this.site = site;
         this.driver = driver;
         this.phase = phase;
         this.counters = counters;
-        this.most = mostLinks;
+        this.room = new Room<>(mostLinks, overflow, ClientLink::mayGo, Comparator.comparingInt(ClientLink::worth)
+            .thenComparingLong(link -> link.idleSinceUs));
     }
 
     /** Accepts connections from now on. */
@@ -45,37 +61,45 @@
 
     /** Ends the connections on which nothing is under way; the rest end with their answers. */
     public void closeIdle() {
-        List.copyOf(open).stream().filter(ClientLink::idle).forEach(Link::end);
+        List.copyOf(room.all()).stream().filter(ClientLink::idle).forEach(Link::end);
     }
 
     /** How many connections still owe an answer; one on which a query has only begun owes none. */
     public int busy() {
-        return (int) open.stream().filter(ClientLink::busy).count();
+        return (int) room.all().stream().filter(ClientLink::busy).count();
     }
 
     @Override
     public boolean mayAccept() {
-        return accepted < most;
+        return room.mayAccept();
     }
 
     @Override
     public Link open(EndPoint endPoint) {
+        room.coming();
         return new ClientLink(endPoint, this);
     }
 
     void opened(ClientLink link) {
-        open.add(link);
-        accepted = open.size();
         counters.add(Count.CLIENT_LINKS_OPENED);
-        if (accepted > most - most / 8) { // makes room while only idle ones have to go
-            open.stream().filter(other -> other != link && other.idle())
-                .min(Comparator.comparingLong(other -> other.idleSinceUs)).ifPresent(Link::end);
-        }
+        room.opened(link);
     }
 
     void closed(ClientLink link) {
-        open.remove(link);
-        accepted = open.size();
+        room.closed(link);
+    }
+
+    /**
+     * Takes a query in. Guards against an id that comes twice: every query has one of its own, a client's retry too,
+     * so a second one is a stranger's that borrows it, or the same query hurled at us again as soon as it was turned
+     * away. Neither may run beside or after the first, nor disturb it.
+     */
+    Exchange take(Query query, ClientLink link) throws QueryHead.Bad {
+        if (driver.holds(query.id()) || taken.containsKey(query.id())) {
+            throw new QueryHead.Bad(409, "this id was used already: " + query.id());
+        }
+        taken.put(query.id(), true);
+        return driver.take(query, link);
     }
 
     void bad() {
--- a/src/main/java/damsonslip/platform/clients/QueryHead.java
+++ b/src/main/java/damsonslip/platform/clients/QueryHead.java
@@ -15,6 +15,9 @@
  * @param body    the content
  */
 record QueryHead(String method, String target, Map<String, String> fields, byte[] body) {
+    /** No worker has more slots, or more units of memory; what claims more would only spoil the estimates. */
+    private static final int MOST_SLOTS = 64;
+
     /** A message that cannot be served, and the status that says so. */
     static final class Bad extends Exception {
         private static final long serialVersionUID = 1L;
@@ -63,8 +66,8 @@
                 int at = fact.indexOf('=');
                 String value = fact.substring(at + 1).trim();
                 switch (at < 0 ? "" : fact.substring(0, at).trim()) {
-                    case "cores_needed", "slots" -> slots = Math.max(1, (int) Double.parseDouble(value));
-                    case "mem_needed", "memory" -> memory = Double.parseDouble(value);
+                    case "cores_needed", "slots" -> slots = Math.max(1, (int) Field.figure(value, MOST_SLOTS));
+                    case "mem_needed", "memory" -> memory = Field.figure(value, MOST_SLOTS);
                     default -> { }
                 }
             }
--- a/src/main/java/damsonslip/platform/clients/QueryReader.java
+++ b/src/main/java/damsonslip/platform/clients/QueryReader.java
@@ -3,17 +3,30 @@
 import damsonslip.platform.http.Field;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.util.BufferUtil;
 
 /** Decodes a client's bytes, message by message. */
 final class QueryReader implements HttpParser.RequestHandler {
+    private static final List<String> METHODS = Arrays.stream(HttpMethod.values()).map(m -> m.asString() + " ").toList();
+    private static final int LONGEST_METHOD = METHODS.stream().mapToInt(String::length).max().orElseThrow();
+    /** Fields that mean something here; a message that has one of them twice says two things at once. */
+    private static final Set<String> SINGLE = Stream.of(Field.ID, Field.CLASS, Field.TIME_LEFT, Field.KEY, Field.FACTS)
+        .map(name -> name.toLowerCase(Locale.ROOT)).collect(Collectors.toUnmodifiableSet());
+
     private final HttpParser parser = new HttpParser(this, Field.MOST_HEADERS);
     private Map<String, String> fields = new HashMap<>();
     private ByteArrayOutputStream body = new ByteArrayOutputStream(256);
@@ -39,6 +52,18 @@
         return whole ? new QueryHead(method, target, fields, body.toByteArray()) : null;
     }
 
+    /** Whether these bytes, as far as they go, can be the beginning of a message. */
+    static boolean mayBegin(ByteBuffer bytes) {
+        int from = bytes.position();
+        while (from < bytes.limit() && (bytes.get(from) == '\r' || bytes.get(from) == '\n')) {
+            from++;
+        }
+        byte[] start = new byte[Math.min(LONGEST_METHOD, bytes.limit() - from)];
+        bytes.get(from, start);
+        String text = new String(start, StandardCharsets.ISO_8859_1);
+        return METHODS.stream().anyMatch(method -> text.startsWith(method) || method.startsWith(text));
+    }
+
     /** Whether the connection may serve a further message. */
     boolean persistent() {
         return persistent;
@@ -80,10 +105,12 @@
             persistent = !says.contains("close") && (persistent || says.contains("keep-alive"));
         } else if (name.equals("expect")) {
             expectsContinue = value.equalsIgnoreCase("100-continue");
-        } else if (name.equals("content-length") && value.length() < 19 && Long.parseLong(value) > Field.MOST_BODY) {
+        } else if (name.equals("content-length") && parser.getContentLength() > Field.MOST_BODY) {
             bad = new QueryHead.Bad(413, "body too large");
         }
-        fields.put(name, value);
+        if (fields.put(name, value) != null && SINGLE.contains(name)) {
+            bad = new QueryHead.Bad(400, "twice: " + field.getName());
+        }
     }
 
     @Override
--- a/src/main/java/damsonslip/platform/http/Field.java
+++ b/src/main/java/damsonslip/platform/http/Field.java
@@ -1,6 +1,7 @@
 package damsonslip.platform.http;
 
 import java.time.Duration;
+import java.util.regex.Pattern;
 
 /** The names of the platform's header fields, and the forms of their values. */
 public final class Field {
@@ -16,6 +17,8 @@
 
     private static final long MOST_US = Duration.ofDays(1).toNanos() / 1000;
 
+    private static final Pattern FIGURE = Pattern.compile("[0-9]{1,20}(\\.[0-9]{1,20})?");
+
     private Field() { }
 
     /** Reads {@code 480m} or {@code 480000u} as microseconds; no number or no known unit is an error. */
@@ -26,11 +29,19 @@
             case 'u' -> 1;
             default -> 0;
         };
-        double number = unit == 0 ? Double.NaN : Double.parseDouble(text.substring(0, end));
-        if (!(number >= 0) || number * unit > MOST_US) {
+        if (unit == 0) {
             throw new IllegalArgumentException("not a time: " + text);
         }
-        return Math.round(number * unit);
+        return Math.round(figure(text.substring(0, end), MOST_US / unit) * unit);
+    }
+
+    /** Reads a plain decimal number; Java's own reader would take {@code 5d}, {@code 0x1p4} and {@code NaN} as well. */
+    public static double figure(String text, long most) {
+        double number = FIGURE.matcher(text).matches() ? Double.parseDouble(text) : Double.NaN;
+        if (!(number >= 0 && number <= most)) {
+            throw new IllegalArgumentException(text);
+        }
+        return number;
     }
 
     public static String text(long micros) {
--- a/src/test/java/damsonslip/kit/Peer.java
+++ b/src/test/java/damsonslip/kit/Peer.java
@@ -9,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
@@ -143,6 +144,17 @@
         return in.read() < 0;
     }
 
+    /** The same, and a reset counts as well. */
+    public boolean closed() {
+        try {
+            return ended();
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (IOException e) {
+            return true;
+        }
+    }
+
     /** Answers a job as a worker does: each line in a chunk of its own. */
     public Peer answerLines(String... lines) throws IOException {
         send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
--- a/src/test/java/damsonslip/platform/PlatformTest.java
+++ b/src/test/java/damsonslip/platform/PlatformTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.params.provider.Arguments.arguments;
 
 import damsonslip.kit.Peer;
 import damsonslip.kit.Peer.Message;
@@ -17,12 +18,16 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
 
 /** The real program between clients, workers and discovery that this test plays. */
 class PlatformTest {
@@ -337,6 +342,109 @@
         assertFalse(program.said().contains("Exception"), program.said());
     }
 
+    static String head(String id, String more) {
+        return "POST /api HTTP/1.1~Host: a~X-Correlation-Id: " + id + "~X-Service-Class: read~" + more + "~";
+    }
+
+    static Stream<Arguments> messagesThatCannotBeTrusted() {
+        return Stream.of(
+            // the second one would pass a front that goes by the length, and the first a front that goes by the chunks
+            arguments(head("q", "Content-Length: 4~Transfer-Encoding: chunked~") + "0~~" + head("r", "~"), 400),
+            arguments(head("q", "Content-Length: -4~") + "body", 400),
+            arguments(head("q", "Content-Length: 99999999999999999999~") + "body", 400),
+            arguments(head("q", "Content-Length: 60000000~") + "body", 413),
+            arguments(head("q", "Content-Length: 4~") + "body, and more than it says", 400),
+            arguments(head("q", "X-Correlation-Id: r~Content-Length: 4~") + "body", 400),
+            arguments(head("q", "X-Time-Left: 5dm~Content-Length: 4~") + "body", 400),
+            arguments(head("q", "X-Time-Left: -5m~Content-Length: 4~") + "body", 400),
+            arguments(head("q", "X-Facts: slots=1e9~Content-Length: 4~") + "body", 400),
+            arguments(head("q", "Content-Length: 9~") + "body", 408),
+            arguments("POST /api HTTP/1.1~Host", 408));
+    }
+
+    /** Each gets its error within three seconds, then the end of the connection, and no worker hears of it. */
+    @ParameterizedTest
+    @MethodSource("messagesThatCannotBeTrusted")
+    void whatCannotBeTrustedIsRefusedAndTheConnectionEnds(String text, int status) throws Exception {
+        start(worker("a", SERVE));
+        long before = System.nanoTime();
+        try (Peer client = Peer.connect(port).send(text.replace("~", "\r\n"))) {
+            Message answer = client.message();
+            assertEquals(status, answer.status(), answer.body());
+            assertTrue(client.ended());
+        }
+        assertTrue(System.nanoTime() - before < 3_000_000_000L);
+        assertEquals(0, jobs("a"));
+    }
+
+    /** What is behind a length that is too small may come only when the query is with a worker already. */
+    @Test
+    void aQueryThatTurnsOutLongerThanItSaysIsNotServed() throws Exception {
+        start(worker("a", SAY_NOTHING));
+        try (Peer client = Peer.connect(port).send(query("q1", "submit", "4000m"))) {
+            Program.await("it is sent", () -> jobs("a") == 1);
+            assertEquals(400, client.send("body that goes on").message().status());
+        }
+    }
+
+    /** Ids belong to one query each: a stranger's repeat must neither run nor disturb the query whose id it is. */
+    @Test
+    void anIdThatWasUsedIsRefusedWhetherItsQueryIsOpenOrNot() throws Exception {
+        start(worker("a", (peer, job) -> {
+            Thread.sleep(500);
+            SERVE.on(peer, job);
+        }));
+        try (Peer client = Peer.connect(port).send(query("q1", "submit", "4000m"))) {
+            Program.await("it is sent", () -> jobs("a") == 1);
+            assertEquals(409, ask(query("q1", "submit", "4000m")).status());
+            assertEquals("r-q1", client.message().body());
+        }
+        assertEquals(409, ask(query("q1", "submit", "4000m")).status());
+        assertEquals(1, jobs("a"));
+    }
+
+    /** Connections that say nothing fill the room there is; usual clients still get in, and the silent ones go. */
+    @Test
+    void silentConnectionsMakeWayForUsualClientsAndAreClosed() throws Exception {
+        start(worker("a", SERVE));
+        List<Peer> silent = new ArrayList<>();
+        for (int i = 0; i < 700; i++) {
+            silent.add(Peer.connect(port));
+        }
+        long before = System.nanoTime();
+        assertEquals(200, ask(query("q1", "read", "2000m")).status());
+        for (Peer peer : silent) {
+            assertTrue(peer.closed());
+        }
+        assertTrue(System.nanoTime() - before < 3_000_000_000L);
+    }
+
+    /** A flood behind a refusal is not read to its end: others would have to wait for it. */
+    @Test
+    void aFloodBehindARefusalKeepsNobodyWaiting() throws Exception {
+        start(worker("a", SERVE));
+        ask(query("q0", "read", "2000m")); // the first one loads classes
+        AtomicInteger sent = new AtomicInteger();
+        Thread flood = new Thread(() -> {
+            String part = "x".repeat(1 << 20);
+            try (Peer client = Peer.connect(port).send(head("q", "Content-Length: 900000000~~").replace("~", "\r\n"))) {
+                while (sent.incrementAndGet() < 800) {
+                    client.send(part);
+                }
+            } catch (IOException e) {
+                // its end
+            }
+        });
+        flood.start();
+        long before = System.nanoTime();
+        for (int i = 1; i <= 20; i++) {
+            assertEquals(200, ask(query("q" + i, "read", "2000m")).status());
+        }
+        assertTrue(System.nanoTime() - before < 2_000_000_000L);
+        flood.join(5_000);
+        assertTrue(sent.get() < 100, "it was cut off after " + sent.get() + " MB");
+    }
+
     /** After SIGTERM clients still come for a while; all get an answer, and only then the process ends. */
     @Test
     void aStopAnswersEverythingAndAsksClientsToGo() throws Exception {
