--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -675,7 +675,7 @@
             && trusts(w, job) && coldAllows(w, cost(job));
     }
 
-    /** A worker that has failed more than once in a row is tried with what may be repeated, if there are others. */
+    /** A worker struck more than once is tried with what may be repeated, if there are others. */
     private boolean trusts(Worker w, Job job) {
         return w.strikes < 2 || pools[job.ask.jobClass()].of.effect() == Effect.SAFE
             || now > w.pausedUntil + TRUST_US
