--- a/src/main/java/damsonslip/platform/clients/ClientLink.java
+++ b/src/main/java/damsonslip/platform/clients/ClientLink.java
@@ -4,7 +4,6 @@
 import damsonslip.core.Asker;
 import damsonslip.core.Exchange;
 import damsonslip.core.Loop;
-import damsonslip.core.Query;
 import damsonslip.net.Link;
 import damsonslip.platform.http.Encoder;
 import java.nio.ByteBuffer;
--- a/src/main/java/damsonslip/platform/clients/QueryHead.java
+++ b/src/main/java/damsonslip/platform/clients/QueryHead.java
@@ -61,7 +61,8 @@
         double memory = 0;
         long timeLeft;
         try {
-            timeLeft = field(Field.TIME_LEFT) == null ? site.deadlineUs(jobClass) : Field.micros(field(Field.TIME_LEFT));
+            String told = field(Field.TIME_LEFT);
+            timeLeft = told == null ? site.deadlineUs(jobClass) : Field.micros(told);
             for (String fact : field(Field.FACTS) == null ? new String[0] : field(Field.FACTS).split(",")) {
                 int at = fact.indexOf('=');
                 String value = fact.substring(at + 1).trim();
@@ -75,6 +76,7 @@
             throw new Bad(400, "not a figure: " + e.getMessage());
         }
         HttpForward forward = new HttpForward(method, target, field(Field.KEY), field("Content-Type"), body);
-        return new Query(id, jobClass, nowUs + Math.min(timeLeft, mostLeftUs), slots, memory, null, Integer.MAX_VALUE, forward);
+        long deadline = nowUs + Math.min(timeLeft, mostLeftUs);
+        return new Query(id, jobClass, deadline, slots, memory, null, Integer.MAX_VALUE, forward);
     }
 }
--- a/src/main/java/damsonslip/program/Rehearsal.java
+++ b/src/main/java/damsonslip/program/Rehearsal.java
@@ -57,8 +57,8 @@
             platform.start();
             phase.await(State.SERVING, LONGEST_MS);
             for (int i = 0; i < QUERIES; i++) {
-                String answer = ask(port, "POST /api HTTP/1.1\r\nHost: r\r\nX-Correlation-Id: r" + i + "\r\nX-Service-Class: any\r\n"
-                    + "X-Time-Left: 2000m\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
+                String answer = ask(port, "POST /api HTTP/1.1\r\nHost: r\r\nX-Correlation-Id: r" + i
+                    + "\r\nX-Service-Class: any\r\nX-Time-Left: 2000m\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
                 if (!answer.startsWith("HTTP/1.1 200")) {
                     throw new IOException("the rehearsal was not served: " + answer.lines().findFirst().orElse("closed"));
                 }
