--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -25,7 +25,12 @@
         double reportedFree = Double.NaN;
         double reportedMemory = Double.NaN;
         long reportedAt;
-        double sentSlots;
+        /** Own slots in use, their mean lately, and how many of others' reports tell of. */
+        int own;
+        double ownMean;
+        long ownAt;
+        double others;
+        boolean fresh;
         double sentMemory;
         long pausedUntil;
         long answeredAt = Long.MIN_VALUE;
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -38,7 +38,11 @@
     /** Sends this recent may be missing from a report: reports are refreshed a few times a second at best. */
     private static final long REPORT_LAG_US = 250_000;
     /** A job sent longer ago than this and not known to have started waits in its worker's queue. */
-    private static final long START_US = 50_000;
+    private static final long START_US = 80_000;
+    /** The mean of own slots in use goes over about the time by which reports lag behind. */
+    private static final double OWN_US = 1e6;
+    /** What others have at a worker is taken from the reports of about this long. */
+    private static final double OTHERS_US = 500e3;
     /** A worker counts as having room down to this many free slots: guesses are fractions. */
     private static final double ROOM = 0.5;
     /** A worker of the own zone counts as having this many more free slots. */
@@ -301,20 +305,25 @@
         pool.time += Math.max(TIME_WEIGHT, 1.0 / pool.timed) * (time - pool.time);
     }
 
-    private void reported(Worker w, Report report) {
+    /** Takes a report in; one that was asked for is fresh, others are about as old as the own mean. */
+    private void reported(Worker w, Report report, boolean fresh) {
         if (report == null || Double.isNaN(report.freeSlots())) {
             return;
         }
         double free = Math.max(0, report.freeSlots());
         learnSlots(w.kind, free);
+        own(w, 0);
+        w.fresh = fresh;
+        double others = Math.max(0, kindSlots[w.kind] - free - (fresh ? w.own : w.ownMean));
+        double age = fresh || Double.isNaN(w.reportedFree) ? Double.MAX_VALUE : now - w.reportedAt;
+        double weight = 1 - Math.exp(-age / OTHERS_US);
+        w.others += weight * (others - w.others);
         w.reportedFree = free;
         w.reportedMemory = report.freeMemory();
         w.reportedAt = now;
-        w.sentSlots = 0;
         w.sentMemory = 0;
         for (Attempt a : w.out) {
             if (a.sent > now - REPORT_LAG_US) {
-                w.sentSlots += a.job.ask.slots();
                 w.sentMemory += a.job.ask.memory();
             }
         }
@@ -346,26 +355,33 @@
         kindSlots[kind] = Math.max(v, seen[0] < 50 ? GUESSED_SLOTS : 1);
     }
 
+    /** Own slots in use there change; their mean over the last second or so is kept beside them. */
+    private void own(Worker w, int change) {
+        w.ownMean += (w.own - w.ownMean) * (1 - Math.exp((w.ownAt - now) / OWN_US));
+        w.ownAt = now;
+        w.own += change;
+    }
+
     /**
-     * Free slots as far as can be known: the report fades towards the pool's mean as it ages, own jobs count
-     * in any case, and an own job that waits there to start tells that there are none. Guards against reports
-     * so late that a worker's queue grows long before they show it.
+     * Free slots as far as can be known: own jobs are known exactly; what others have there is what reports
+     * leave beside the own mean, fading towards the pool's as a report ages. An own job that waits there to
+     * start tells that there are none. Guards against reports a second old, which show own jobs that have
+     * ended and lack those sent since: taken at their word they keep jobs waiting beside free slots.
      */
     private double free(Worker w) {
         double slots = kindSlots[w.kind];
-        double mean = slots * (w.pool == null ? 0.5 : w.pool.free[w.kind][w.zone].share);
-        double free = mean - w.sentSlots;
+        double share = w.pool == null ? 0.5 : w.pool.free[w.kind][w.zone].share;
+        double others = slots * (1 - share) * (settings.dispatchers() - 1) / settings.dispatchers();
         if (!Double.isNaN(w.reportedFree)) {
             double fade = w.pool == null ? 0.5 : w.pool.time / (w.pool.time + (now - w.reportedAt));
-            free += fade * (w.reportedFree - mean);
+            others += fade * (w.others - others);
         }
-        int out = 0;
         int waiting = 0;
         for (Attempt a : w.out) {
-            out += a.job.ask.slots();
             waiting += a.started == 0 && now - a.sent > START_US ? a.job.ask.slots() : 0;
         }
-        free = Math.min(free, (cold(w) ? slots * warmth(now - w.started) : slots) - out);
+        double free = slots - w.own - others;
+        free = cold(w) ? Math.min(free, slots * warmth(now - w.started) - w.own) : free;
         return waiting > 0 && settings.tellsStart() ? Math.min(free, -waiting) : free;
     }
 
@@ -731,7 +747,7 @@
         job.attempts.add(a);
         job.outstanding++;
         w.out.add(a);
-        w.sentSlots += job.ask.slots();
+        own(w, job.ask.slots());
         w.sentMemory += job.ask.memory();
         spendCold(w, cost(job));
         actions.add(new Send(job.ask.job(), w.id, 0));
@@ -752,10 +768,11 @@
         a.open = false;
         job.outstanding--;
         w.out.remove(a);
+        own(w, -job.ask.slots());
+        w.others += w.fresh ? job.ask.slots() : 0; // not free until the next report says so
         w.answeredAt = e.outcome() == Outcome.SERVED || e.outcome() == Outcome.FULL ? now : w.answeredAt;
-        reported(w, e.report());
+        reported(w, e.report(), false);
         if (settings.reporting() == Reporting.NONE) { // else only a report says that what was sent has left
-            w.sentSlots = Math.max(0, w.sentSlots - job.ask.slots());
             w.sentMemory = Math.max(0, w.sentMemory - job.ask.memory());
         }
         health(a, e.outcome());
@@ -784,9 +801,9 @@
                 timed(pools[a.job.ask.jobClass()], now - (a.started == 0 ? a.sent : a.started));
             }
             case FULL -> {
+                w.others = kindSlots[w.kind] - w.own;
                 w.reportedFree = 0;
                 w.reportedAt = now;
-                w.sentSlots = 0;
                 w.pausedUntil = Math.max(w.pausedUntil, now + FULL_US / 2 + random.nextLong(FULL_US));
             }
             // an error counts too: a worker that fails at once looks free, and would draw all there is
@@ -888,7 +905,7 @@
     private void probed(ProbeEnded e) {
         Worker w = workers.get(e.worker());
         if (w != null && e.ok()) {
-            reported(w, e.report());
+            reported(w, e.report(), true);
             released(w.pool);
         }
     }
--- a/src/main/java/damsonslip/program/Rehearsal.java
+++ b/src/main/java/damsonslip/program/Rehearsal.java
@@ -60,7 +60,7 @@
                 String answer = ask(port, "POST /api HTTP/1.1\r\nHost: r\r\nX-Correlation-Id: r" + i
                     + "\r\nX-Service-Class: any\r\nX-Time-Left: 2000m\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
                 if (!answer.startsWith("HTTP/1.1 200")) {
-                    throw new IOException("the rehearsal was not served: " + answer.lines().findFirst().orElse("closed"));
+                    throw new IOException("the rehearsal: " + answer.lines().findFirst().orElse("closed"));
                 }
             }
             ask(port, "nonsense\r\n\r\n");
--- a/src/test/java/damsonslip/OrdinaryPathTest.java
+++ b/src/test/java/damsonslip/OrdinaryPathTest.java
@@ -248,4 +248,21 @@
         assertEquals(0, only(all, Refuse.class).size());
         assertTrue(only(all, Send.class).stream().map(Send::worker).distinct().count() > 5, "beyond the own five");
     }
+
+    /** Reports come late: a second after four jobs were sent they show these four, which have just ended. */
+    @Test
+    void ownJobsThatHaveEndedAreFreeSlotsWhateverALateReportSays() {
+        Script script = new Script(settings(1, 0, SAFE)).workers(1);
+        script.free = 0;
+        for (String id : List.of("a", "b", "c", "d")) {
+            assertEquals("w0", sentTo(script.job(id), id));
+            script.started(id, 0);
+        }
+        script.pass(SECOND);
+        for (String id : List.of("a", "b", "c", "d")) {
+            script.ended(id, 0, Outcome.SERVED);
+        }
+        assertEquals("w0", sentTo(script.job("e"), "e"));
+        assertEquals("w0", sentTo(script.job("f"), "f"));
+    }
 }
