--- a/src/main/java/damsonslip/program/Rehearsal.java
+++ b/src/main/java/damsonslip/program/Rehearsal.java
@@ -36,6 +36,17 @@
         {"generation":1,"reset":true,"instances":[{"instanceId":"w","hostPort":"127.0.0.1:%d","zone":"z",
         "machineType":"k","cell":0,"lifecycle":"ready","weight":1.0,"startedAtMs":0}]}""";
 
+    private static final String QUERY = """
+        POST /api HTTP/1.1
+        Host: rehearsal
+        X-Correlation-Id: r%d
+        X-Service-Class: any
+        X-Time-Left: 2000m
+        Content-Length: 4
+        Connection: close
+
+        body""";
+
     private Rehearsal() { }
 
     static void run() throws BadInput, IOException {
@@ -57,10 +68,9 @@
             platform.start();
             phase.await(State.SERVING, LONGEST_MS);
             for (int i = 0; i < QUERIES; i++) {
-                String answer = ask(port, "POST /api HTTP/1.1\r\nHost: r\r\nX-Correlation-Id: r" + i
-                    + "\r\nX-Service-Class: any\r\nX-Time-Left: 2000m\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody");
+                String answer = ask(port, QUERY.formatted(i).replace("\n", "\r\n"));
                 if (!answer.startsWith("HTTP/1.1 200")) {
-                    throw new IOException("the rehearsal: " + answer.lines().findFirst().orElse("closed"));
+                    throw new IOException("the rehearsal was not served: " + answer.lines().findFirst().orElse(""));
                 }
             }
             ask(port, "nonsense\r\n\r\n");
