--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -11,6 +11,12 @@
 
 /** What one dispatcher knows: plain fields that {@link Rules} alone fills and decides by. */
 final class Known {
+    /** The mean of own slots in use goes over about the time by which reports lag behind. */
+    private static final double OWN_US = 1e6;
+
+    /** Weight of the newest job in a mean job time, once a hundred are seen; long tails need many. */
+    private static final double TIME_WEIGHT = 0.003;
+
     private Known() { }
 
     static final class Worker {
@@ -41,6 +47,13 @@
         Worker(String id) {
             this.id = id;
         }
+
+        /** Own slots in use there change; their mean is kept beside them. */
+        void own(int change, long now) {
+            ownMean += (own - ownMean) * (1 - Math.exp((ownAt - now) / OWN_US));
+            ownAt = now;
+            own += change;
+        }
     }
 
     static final class Job {
@@ -121,5 +134,12 @@
             this.time = Math.max(of.aimUs(), 1);
             this.median = time;
         }
+
+        /** A job of the class took this long. */
+        void timed(double took) {
+            timed++;
+            median *= 1 + Math.max(0.02, 1.0 / timed) * (took > median ? 0.5 : -0.5);
+            time += Math.max(TIME_WEIGHT, 1.0 / timed) * (took - time);
+        }
     }
 }
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -5,7 +5,6 @@
 import damsonslip.Known.Worker;
 import java.util.*;
 import java.util.function.Consumer;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 
 /**
@@ -27,8 +26,6 @@
     private static final double RATE_WEIGHT = 0.1;
     /** The same for the rates that pools are cut by: dispatchers that see little must still cut alike. */
     private static final double STEADY_WEIGHT = 0.025;
-    /** Weight of the newest job in a mean job time, once a hundred are seen; long tails need many. */
-    private static final double TIME_WEIGHT = 0.003;
     /** Slots of a worker of which nothing is known yet: most machines have about this many cores. */
     private static final int GUESSED_SLOTS = 4;
     /** Slots are the largest free figure that this part of the reports reach: noise must not raise it. */
@@ -39,14 +36,14 @@
     private static final long REPORT_LAG_US = 250_000;
     /** A job sent longer ago than this and not known to have started waits in its worker's queue. */
     private static final long START_US = 80_000;
-    /** The mean of own slots in use goes over about the time by which reports lag behind. */
-    private static final double OWN_US = 1e6;
     /** What others have at a worker is taken from the reports of about this long. */
     private static final double OTHERS_US = 500e3;
+    /** A job that may be repeated is looked at this long after it was sent: has it started? */
+    private static final long MOVE_US = 100_000;
     /** A worker counts as having room down to this many free slots: guesses are fractions. */
     private static final double ROOM = 0.5;
     /** A worker of the own zone counts as having this many more free slots. */
-    private static final double ZONE = 3;
+    private static final double ZONE = 8;
     /** A worker is silent when an own job is out for this many mean times with nothing back since. */
     private static final double SILENT = 4;
     /** Workers looked at for one job along its pool's ring. */
@@ -103,7 +100,8 @@
     private static final long LOG_US = 10_000_000;
     private static final double SECOND = 1e6;
     private static final long SUBJECT_SALT = 0x632BE59BD9B4E019L;
-    private static final String DEAL = "deal", SWEEP = "sweep", PROBE = "probe", LIST = "list", OF_JOB = "j:";
+    private static final String DEAL = "deal", SWEEP = "sweep", PROBE = "probe", LIST = "list";
+    private static final String OF_JOB = "j:", STARTED = "s:";
 
     // ---- what is known
 
@@ -122,7 +120,7 @@
     private double busier = 1, all, measured, probeAllowance;
     private long now = Long.MIN_VALUE, orders, dealtAt, quotaAt, loggedAt;
     private boolean started, sweeping, subjects = true;
-    private int probeNext, listFailures, borrowed, beyondQuota, turnedAway;
+    private int probeNext, listFailures, borrowed, moved, beyondQuota, turnedAway;
 
     /** A dispatcher that knows nothing yet; the same seed and events give the same actions. */
     public Rules(Settings settings, long seed) {
@@ -207,7 +205,7 @@
             }
             case PROBE -> probe();
             case LIST -> actions.add(new WatchList());
-            default -> ifOpen(label.substring(OF_JOB.length()), this::answer);
+            default -> ifOpen(label.substring(2), label.startsWith(STARTED) ? this::move : this::answer);
         }
     }
 
@@ -299,12 +297,6 @@
         return pool.of.aimUs() + (pool.of.stretch() - 1) * Math.min(pool.median, pool.time);
     }
 
-    private void timed(Pool pool, double time) {
-        pool.timed++;
-        pool.median *= 1 + Math.max(0.02, 1.0 / pool.timed) * (time > pool.median ? 0.5 : -0.5);
-        pool.time += Math.max(TIME_WEIGHT, 1.0 / pool.timed) * (time - pool.time);
-    }
-
     /** Takes a report in; one that was asked for is fresh, others are about as old as the own mean. */
     private void reported(Worker w, Report report, boolean fresh) {
         if (report == null || Double.isNaN(report.freeSlots())) {
@@ -312,7 +304,7 @@
         }
         double free = Math.max(0, report.freeSlots());
         learnSlots(w.kind, free);
-        own(w, 0);
+        w.own(0, now);
         w.fresh = fresh;
         double others = Math.max(0, kindSlots[w.kind] - free - (fresh ? w.own : w.ownMean));
         double age = fresh || Double.isNaN(w.reportedFree) ? Double.MAX_VALUE : now - w.reportedAt;
@@ -355,13 +347,6 @@
         kindSlots[kind] = Math.max(v, seen[0] < 50 ? GUESSED_SLOTS : 1);
     }
 
-    /** Own slots in use there change; their mean over the last second or so is kept beside them. */
-    private void own(Worker w, int change) {
-        w.ownMean += (w.own - w.ownMean) * (1 - Math.exp((w.ownAt - now) / OWN_US));
-        w.ownAt = now;
-        w.own += change;
-    }
-
     /**
      * Free slots as far as can be known: own jobs are known exactly; what others have there is what reports
      * leave beside the own mean, fading towards the pool's as a report ages. An own job that waits there to
@@ -471,27 +456,33 @@
         return loads;
     }
 
+    /** The first by id of the zone that the pool has least of: each dispatcher finds some of it nearby. */
+    private static Worker next(List<Worker> rest, List<Worker> pool) {
+        return rest.stream().min(Comparator.comparingLong(
+            w -> pool.stream().filter(member -> member.zone == w.zone).count())).orElseThrow();
+    }
+
     /** n = floor(N rho / sum rho + 0.5) in sorted id order, the last class the rest, one worker at least. */
     private void dealKind(List<Worker> sorted, double[] loads, List<List<Worker>> members) {
         double sum = Arrays.stream(loads).sum();
         int classes = (int) Arrays.stream(loads).filter(load -> load > 0).count();
-        int at = 0;
+        List<Worker> rest = new ArrayList<>(sorted);
         for (int i = 0; i < loads.length; i++) {
             if (loads[i] == 0) {
                 continue;
             }
-            int rest = sorted.size() - at;
             int n = Math.max(1, (int) Math.floor(sorted.size() * loads[i] / sum + 0.5));
-            n = --classes == 0 ? rest : Math.min(n, Math.max(0, rest - classes));
+            n = --classes == 0 ? rest.size() : Math.min(n, Math.max(0, rest.size() - classes));
             if (n == 0 && !sorted.isEmpty() && members.get(i).isEmpty()) {
                 members.get(i).add(sorted.get(sorted.size() - 1)); // fewer workers than classes
             }
-            for (Worker w : sorted.subList(at, at + n)) {
+            for (int taken = 0; taken < n; taken++) {
+                Worker w = next(rest, members.get(i));
+                rest.remove(w);
                 members.get(i).add(w);
                 w.pool = pools[i];
                 pools[i].slots += kindSlots[w.kind];
             }
-            at += n;
         }
     }
 
@@ -569,11 +560,11 @@
             if (!job.held) {
                 continue;
             }
-            Worker w = mayRepeat(job) ? place(pool, job) : null;
+            Worker w = mayRepeat(job, job.risk) ? place(pool, job) : null;
             if (w != null) {
                 job.held = false;
                 send(job, w);
-            } else if (!mayRepeat(job)) {
+            } else if (!mayRepeat(job, job.risk)) {
                 answer(job); // its window has ended while it was held
             } else if (job.attempts.isEmpty() && !pool.hold.isEmpty() && waited(job) > LATE * slack(pool)) {
                 answer(job); // others wait behind it, and served in order all would be just too late
@@ -598,7 +589,7 @@
     }
 
     private Worker place(Pool pool, Job job) {
-        if (job.risk != null && pool.of.effect() == Effect.KEYED && pool.of.group() != Group.ALL) {
+        if (job.risk != null && grouped(pool)) {
             return chooseInGroup(pool, job);
         }
         boolean anywhere = job.ask.subject() == null;
@@ -673,11 +664,18 @@
     /** A repeat that may have run goes only where repeats are dropped, even outside its pool (rule 2). */
     private Worker chooseInGroup(Pool pool, Job job) {
         Worker first = job.risk.worker;
-        boolean zone = pool.of.group() == Group.ZONE;
-        return workers.values().stream().filter(w -> zone ? w.zone == first.zone : w.cell == first.cell)
+        return workers.values().stream().filter(w -> sameGroup(pool, w, first))
             .filter(w -> mayTake(w, job) && free(w) >= job.ask.slots() + ROOM - 1).findFirst().orElse(null);
     }
 
+    private static boolean grouped(Pool pool) {
+        return pool.of.effect() == Effect.KEYED && pool.of.group() != Group.ALL;
+    }
+
+    private static boolean sameGroup(Pool pool, Worker one, Worker other) {
+        return pool.of.group() == Group.ZONE ? one.zone == other.zone : one.cell == other.cell;
+    }
+
     /** Guards against workers that take jobs and answer none: an own job long out, and nothing back since. */
     private boolean silent(Worker w) {
         Attempt first = w.out.isEmpty() ? null : w.out.get(0);
@@ -747,10 +745,36 @@
         job.attempts.add(a);
         job.outstanding++;
         w.out.add(a);
-        own(w, job.ask.slots());
+        w.own(job.ask.slots(), now);
         w.sentMemory += job.ask.memory();
         spendCold(w, cost(job));
         actions.add(new Send(job.ask.job(), w.id, 0));
+        if (settings.tellsStart() && settings.limits().mayCancel() && job.ask.subject() == null
+            && pools[job.ask.jobClass()].of.effect() != Effect.UNSAFE) {
+            timer(MOVE_US, STARTED + job.ask.job());
+        }
+    }
+
+    /**
+     * A job that has not started where it was sent goes where there is room, if it may be repeated. Guards
+     * against workers that take jobs and answer none, and against queues that no report has told of yet.
+     */
+    private void move(Job job) {
+        Attempt a = job.attempts.get(job.attempts.size() - 1);
+        if (!a.open || a.started != 0 || job.outstanding != 1 || now - a.sent < MOVE_US
+            || job.attempts.size() >= settings.limits().maxAttempts() || job.runs + 1 >= job.ask.mostRuns()) {
+            return;
+        }
+        Pool pool = pools[job.ask.jobClass()];
+        boolean again = mayRepeat(job, job.risk == null ? a : job.risk);
+        if (again && workers.values().stream().anyMatch(w -> w != a.worker && mayTake(w, job)
+            && free(w) >= job.ask.slots() && (!grouped(pool) || sameGroup(pool, w, a.worker)))) {
+            strike(a.worker);
+            moved++;
+            actions.add(new Cancel(job.ask.job(), job.attempts.size() - 1));
+        } else {
+            timer(MOVE_US, STARTED + job.ask.job());
+        }
     }
 
     private Attempt attempt(String id, int number) {
@@ -768,7 +792,7 @@
         a.open = false;
         job.outstanding--;
         w.out.remove(a);
-        own(w, -job.ask.slots());
+        w.own(-job.ask.slots(), now);
         w.others += w.fresh ? job.ask.slots() : 0; // not free until the next report says so
         w.answeredAt = e.outcome() == Outcome.SERVED || e.outcome() == Outcome.FULL ? now : w.answeredAt;
         reported(w, e.report(), false);
@@ -798,7 +822,7 @@
         switch (outcome) {
             case SERVED -> {
                 w.strikes = 0;
-                timed(pools[a.job.ask.jobClass()], now - (a.started == 0 ? a.sent : a.started));
+                pools[a.job.ask.jobClass()].timed(now - (a.started == 0 ? a.sent : a.started));
             }
             case FULL -> {
                 w.others = kindSlots[w.kind] - w.own;
@@ -807,35 +831,38 @@
                 w.pausedUntil = Math.max(w.pausedUntil, now + FULL_US / 2 + random.nextLong(FULL_US));
             }
             // an error counts too: a worker that fails at once looks free, and would draw all there is
-            case ERROR, NOT_CONNECTED, RESET, TIMED_OUT -> {
-                if (now >= w.pausedUntil) { // what fails together with the first is one failure
-                    long pause = PAUSE_US << Math.min(w.strikes++, MOST_DOUBLINGS);
-                    w.pausedUntil = now + pause / 2 + random.nextLong(pause);
-                }
-            }
+            case ERROR, NOT_CONNECTED, RESET, TIMED_OUT -> strike(w);
             default -> { }
         }
     }
 
+    private void strike(Worker w) {
+        if (now >= w.pausedUntil) { // what fails together with the first is one failure
+            long pause = PAUSE_US << Math.min(w.strikes++, MOST_DOUBLINGS);
+            w.pausedUntil = now + pause / 2 + random.nextLong(pause);
+        }
+    }
+
     /** An attempt has ended without serving: another if the class allows it, else the answer (rules 1, 2). */
     private void goOn(Job job, Attempt a, Outcome outcome) {
         job.runs += outcome.provesNotRun() ? 0 : 1;
         if (!outcome.provesNotRun() && job.risk == null) {
             job.risk = a;
         }
-        if (job.outstanding == 0 && job.attempts.size() < settings.limits().maxAttempts() && mayRepeat(job)
-            && now < job.ask.deadlineUs() - settings.tickUs()) {
+        if (job.outstanding == 0 && job.attempts.size() < settings.limits().maxAttempts()
+            && mayRepeat(job, job.risk) && now < job.ask.deadlineUs() - settings.tickUs()) {
             hold(job);
         } else if (job.outstanding == 0) {
             answer(job);
         }
     }
 
-    private boolean mayRepeat(Job job) {
+    /** Whether it may be sent, if this (or null) is the first attempt that may have run. */
+    private boolean mayRepeat(Job job, Attempt risk) {
         JobClass of = pools[job.ask.jobClass()].of;
         boolean again = of.effect() != Effect.UNSAFE && job.runs < job.ask.mostRuns();
-        return job.risk == null || again && of.effect() == Effect.SAFE
-            || again && now + settings.tickUs() < job.risk.sent + of.windowUs();
+        return risk == null || again && of.effect() == Effect.SAFE
+            || again && now + settings.tickUs() < risk.sent + of.windowUs();
     }
 
     private boolean harmless(Job job) {
@@ -914,32 +941,23 @@
 
     /** How the pools stand, by class. */
     public List<PoolState> pools() {
-        return IntStream.range(0, pools.length).mapToObj(i -> {
-            Pool p = pools[i];
-            return new PoolState(i, p.members.size(), p.slots, p.rate, p.time, p.freeShare, p.present,
-                (int) p.hold.stream().filter(job -> job.held).count(), p.share);
-        }).toList();
+        return Picture.pools(pools);
     }
 
     /** How the workers stand, by id; {@code nowUs} tells which of them are cold or paused. */
     public List<WorkerState> workers(long nowUs) {
         now = Math.max(now, nowUs);
+        List<Pool> order = Arrays.asList(pools);
         return workers.values().stream().map(w -> new WorkerState(w.id, w.zone, w.kind, w.running, cold(w),
-            now < w.pausedUntil, w.out.size(), free(w), Arrays.asList(pools).indexOf(w.pool))).toList();
+            now < w.pausedUntil, w.out.size(), free(w), order.indexOf(w.pool))).toList();
     }
 
     private void log() {
-        if (now - loggedAt < LOG_US) {
-            return;
-        }
-        loggedAt = now;
-        StringBuilder text = new StringBuilder("pools");
-        for (Pool p : pools) {
-            text.append(" [slots " + (int) p.slots + " rate " + (int) p.rate + " ms " + (int) (p.time / 1000)
-                + " share " + p.share + " in " + p.present + " free% " + (int) (100 * p.freeShare) + "]");
+        if (now - loggedAt >= LOG_US) {
+            loggedAt = now;
+            actions.add(new Log(Picture.line(pools) + " borrowed " + borrowed + " moved " + moved
+                + " beyond quota " + beyondQuota + " turned away " + turnedAway + " slots "
+                + Arrays.toString(kindSlots)));
         }
-        text.append(" borrowed " + borrowed + " beyond quota " + beyondQuota + " turned away " + turnedAway
-            + " slots " + Arrays.toString(kindSlots));
-        actions.add(new Log(text.toString()));
     }
 }
--- a/src/test/java/damsonslip/OrdinaryPathTest.java
+++ b/src/test/java/damsonslip/OrdinaryPathTest.java
@@ -13,6 +13,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import damsonslip.Dispatch.Action;
+import damsonslip.Dispatch.Cancel;
 import damsonslip.Dispatch.Effect;
 import damsonslip.Dispatch.Group;
 import damsonslip.Dispatch.JobArrived;
@@ -39,6 +40,9 @@
         for (int i = 0; i < jobs; i++) {
             String id = "job" + i;
             String to = sentTo(script.job(id, i % 2, 0, null), id);
+            if (to != null) {
+                script.started(id, 0);
+            }
             script.pass(SECOND / 10);
             if (to != null) {
                 script.ended(id, 0, Outcome.SERVED);
@@ -194,6 +198,9 @@
             String id = "job" + i;
             beside.job(id, i % 2, 0, null);
             String to = sentTo(again.job(id, i % 2, 0, null), id);
+            if (to != null) {
+                again.started(id, 0);
+            }
             again.pass(SECOND / 10);
             if (to != null) {
                 again.ended(id, 0, Outcome.SERVED);
@@ -265,4 +272,37 @@
         assertEquals("w0", sentTo(script.job("e"), "e"));
         assertEquals("w0", sentTo(script.job("f"), "f"));
     }
+
+    /** A silent worker's jobs go elsewhere, once, if they may be repeated; a subject's stay with its worker. */
+    @Test
+    void aJobThatDoesNotStartMovesToWhereThereIsRoomIfItMayBeRepeated() {
+        JobClass once = jobClass(Effect.UNSAFE, Group.ALL);
+        Script script = new Script(settings(1, 0, SAFE, once)).workers(4);
+        script.job("a");
+        script.started("a", 0);
+        assertTrue(only(script.pass(SECOND / 2), Cancel.class).isEmpty(), "a started job stays");
+        script.job("b", 1, 0, null);
+        script.job("c", 0, 0, 5L);
+        assertTrue(only(script.pass(SECOND / 2), Cancel.class).isEmpty(), "neither may move");
+        String first = sentTo(script.job("d"), "d");
+        assertEquals(List.of(new Cancel("d", 0)), only(script.pass(SECOND / 10), Cancel.class));
+        List<Action> after = new ArrayList<>(script.ended("d", 0, Outcome.CANCELLED));
+        after.addAll(script.pass(SECOND / 20));
+        assertFalse(first.equals(sentTo(after, "d")), "not to the one that did not start it");
+        assertEquals(1, only(after, Send.class).size());
+    }
+
+    /** Each zone has some of every pool where that is possible, so that jobs need not cross. */
+    @Test
+    void poolsTakeTheirWorkersZoneByZone() {
+        Script script = new Script(settings(1, 0, SAFE, SAFE));
+        List<Dispatch.Worker> list = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            list.add(worker("w" + i, i < 4 ? 1 : 0, 0, Status.RUNNING, Long.MIN_VALUE));
+        }
+        script.list(ListMode.KEPT, list.toArray(Dispatch.Worker[]::new));
+        for (Set<String> used : pools(script, 400)) {
+            assertTrue(used.stream().allMatch(w -> w.compareTo("w4") >= 0), "all in the own zone: " + used);
+        }
+    }
 }
