--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -17,6 +17,12 @@
     /** Weight of the newest job in a mean job time, once a hundred are seen; long tails need many. */
     private static final double TIME_WEIGHT = 0.003;
 
+    /** Weight of the newest job in a worker's pace, of which no single one counts for more than so many times. */
+    private static final double PACE_WEIGHT = 0.15;
+    private static final double MOST_TIMES = 6;
+    /** A worker's pace is forgotten over about this long. */
+    private static final double PACE_US = 8e6;
+
     private Known() { }
 
     static final class Worker {
@@ -34,6 +40,8 @@
         /** Own slots in use, their mean lately, and how many of others' reports tell of. */
         int own;
         double ownMean;
+        double pace = 1;
+        long pacedAt;
         long ownAt;
         double others;
         boolean fresh;
@@ -48,6 +56,17 @@
             this.id = id;
         }
 
+        /** A job there took this many times its class's usual time. */
+        void paced(double times, long now) {
+            pace = pace(now) + PACE_WEIGHT * (Math.min(times, MOST_TIMES) - pace(now));
+            pacedAt = now;
+        }
+
+        /** How many times the usual its jobs take lately; without news it is as usual again after a while. */
+        double pace(long now) {
+            return 1 + (pace - 1) * Math.exp((pacedAt - now) / PACE_US);
+        }
+
         /** Own slots in use there change; their mean is kept beside them. */
         void own(int change, long now) {
             ownMean += (own - ownMean) * (1 - Math.exp((ownAt - now) / OWN_US));
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -40,6 +40,10 @@
     private static final double ROOM = 0.5;
     /** A worker of the own zone counts as having this many more free slots. */
     private static final double ZONE = 8;
+    /** A worker's jobs may take this much longer than others' by chance and by its kind. */
+    private static final double USUAL_PACE = 1.8;
+    /** Each time by which its jobs take longer than that counts as this many slots that are taken. */
+    private static final double SLOWNESS = 8;
     /** A worker is silent when an own job is out for this many mean times with nothing back since. */
     private static final double SILENT = 4;
     /** Workers looked at for one job along its pool's ring. */
@@ -623,6 +627,7 @@
                 continue;
             }
             room += anywhere && w.zone == settings.zone() ? ZONE : 0;
+            room -= SLOWNESS * Math.max(0, w.pace(now) - USUAL_PACE); // slow ones where all else is taken
             if (found == null || room > most) {
                 found = w;
                 most = room;
@@ -805,7 +810,10 @@
         switch (outcome) {
             case SERVED -> {
                 w.strikes = 0;
-                pools[a.job.ask.jobClass()].timed(now - (a.started == 0 ? a.sent : a.started));
+                Pool pool = pools[a.job.ask.jobClass()];
+                double took = now - (a.started == 0 ? a.sent : a.started);
+                w.paced(took / pool.time, now);
+                pool.timed(took);
             }
             case FULL -> {
                 w.others = kindSlots[w.kind] - w.own;
--- a/src/test/java/damsonslip/OrdinaryPathTest.java
+++ b/src/test/java/damsonslip/OrdinaryPathTest.java
@@ -319,4 +319,20 @@
         script.pass(SECOND);
         assertNull(sentTo(script.ended("b", 1, Outcome.RESET), "b"), "a quiet one is spared for a while");
     }
+
+    /** A worker that has slowed down looks as free as others, and each of its jobs comes too late. */
+    @Test
+    void aWorkerAtHalfTheUsualPaceIsUsedOnlyWhereAllElseIsTaken() {
+        Script script = new Script(settings(1, 0, SAFE)).workers(4);
+        int slow = 0;
+        for (int i = 0; i < 200; i++) {
+            String id = "job" + i;
+            String to = sentTo(script.job(id), id);
+            script.started(id, 0);
+            script.pass("w0".equals(to) ? SECOND / 2 : SECOND / 10);
+            script.ended(id, 0, Outcome.SERVED);
+            slow += "w0".equals(to) ? 1 : 0;
+        }
+        assertTrue(slow > 0 && slow < 20, slow + " of 200");
+    }
 }
