--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -20,6 +20,9 @@
     /** Weight of the newest job in a worker's pace, of which no single one counts for more than so many times. */
     private static final double PACE_WEIGHT = 0.15;
     private static final double MOST_TIMES = 6;
+    /** The same in a worker's mean time of a class, which counts once a few are seen. */
+    private static final double WORKER_WEIGHT = 0.1;
+    private static final int FEW = 3;
     /** A worker's pace is forgotten over about this long. */
     private static final double PACE_US = 8e6;
 
@@ -56,7 +59,7 @@
             this.id = id;
         }
 
-        /** A job there took this many times its class's usual time. */
+        /** A job there took this many times as long as where its class runs quickly. */
         void paced(double times, long now) {
             pace = pace(now) + PACE_WEIGHT * (Math.min(times, MOST_TIMES) - pace(now));
             pacedAt = now;
@@ -158,6 +161,8 @@
         double slotsPerJob = 1;
         double dealt = 1e-6;
         double median;
+        /** How many jobs each worker has run, and their mean time. */
+        private final Map<Worker, double[]> byWorker = new HashMap<>();
         final Map<Long, Heat> heat = new HashMap<>();
         double slots;
         /** By kind and zone. */
@@ -179,11 +184,19 @@
             this.median = time;
         }
 
-        /** A job of the class took this long. */
-        void timed(double took) {
+        /**
+         * A job of the class took this long there; tells how many times as long as at its quick workers, the first
+         * quarter of all that have run some. Not the class's own mean: where a whole pool is slow, that is as well.
+         */
+        double timed(Worker w, double took) {
+            double[] own = byWorker.computeIfAbsent(w, fresh -> new double[2]);
+            own[1] += Math.max(WORKER_WEIGHT, 1 / ++own[0]) * (took - own[1]);
+            double[] means = byWorker.values().stream().filter(mean -> mean[0] >= FEW).mapToDouble(mean -> mean[1])
+                .sorted().toArray();
             timed++;
             median *= 1 + Math.max(0.02, 1.0 / timed) * (took > median ? 0.5 : -0.5);
             time += Math.max(TIME_WEIGHT, 1.0 / timed) * (took - time);
+            return means.length == 0 ? 1 : took / means[means.length / 4];
         }
     }
 }
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -40,10 +40,8 @@
     private static final double ROOM = 0.5;
     /** A worker of the own zone counts as having this many more free slots. */
     private static final double ZONE = 8;
-    /** A worker's jobs may take this much longer than others' by chance and by its kind. */
-    private static final double USUAL_PACE = 1.8;
-    /** Each time by which its jobs take longer than that counts as this many slots that are taken. */
-    private static final double SLOWNESS = 8;
+    /** A worker is slow when its jobs take this many times as long as where their class runs quickly. */
+    private static final double SLOW = 2.2;
     /** A worker is silent when an own job is out for this many mean times with nothing back since. */
     private static final double SILENT = 4;
     /** Workers looked at for one job along its pool's ring. */
@@ -612,12 +610,14 @@
         int at = (int) Math.floorMod(hash, Math.max(1L, ring.length));
         int near = anywhere ? ring.length : job.near + (far ? 1 : 0);
         double least = ROOM - 1 - (anywhere || far ? 0 : QUEUE);
+        // what a slow worker gets is late in any case, so it is the last resort of what would be refused else
+        boolean pressed = waited(job) > LATE * slack(pools[job.ask.jobClass()]);
         Worker found = null;
         double most = 0;
         Worker before = null;
         for (int i = 0; i < Math.min(WALK, ring.length) && near > 0; i++) {
             Worker w = ring[(at + i) % ring.length];
-            if (w == before || !mayTake(w, job)) {
+            if (w == before || !mayTake(w, job) || w.pace(now) > SLOW && !pressed) {
                 continue;
             }
             before = w;
@@ -627,7 +627,6 @@
                 continue;
             }
             room += anywhere && w.zone == settings.zone() ? ZONE : 0;
-            room -= SLOWNESS * Math.max(0, w.pace(now) - USUAL_PACE); // slow ones where all else is taken
             if (found == null || room > most) {
                 found = w;
                 most = room;
@@ -810,10 +809,8 @@
         switch (outcome) {
             case SERVED -> {
                 w.strikes = 0;
-                Pool pool = pools[a.job.ask.jobClass()];
                 double took = now - (a.started == 0 ? a.sent : a.started);
-                w.paced(took / pool.time, now);
-                pool.timed(took);
+                w.paced(pools[a.job.ask.jobClass()].timed(w, took), now);
             }
             case FULL -> {
                 w.others = kindSlots[w.kind] - w.own;
--- a/src/test/java/damsonslip/OrdinaryPathTest.java
+++ b/src/test/java/damsonslip/OrdinaryPathTest.java
@@ -322,7 +322,7 @@
 
     /** A worker that has slowed down looks as free as others, and each of its jobs comes too late. */
     @Test
-    void aWorkerAtHalfTheUsualPaceIsUsedOnlyWhereAllElseIsTaken() {
+    void aSlowWorkerIsUsedOnlyWhereAllElseIsTaken() {
         Script script = new Script(settings(1, 0, SAFE)).workers(4);
         int slow = 0;
         for (int i = 0; i < 200; i++) {
@@ -335,4 +335,36 @@
         }
         assertTrue(slow > 0 && slow < 20, slow + " of 200");
     }
+
+    /** Where a class's whole pool is slow its mean tells nothing: what it lends elsewhere shows how long jobs take. */
+    @Test
+    void aPoolWhoseWorkersAreAllSlowBorrowsInsteadOfUsingThem() {
+        Script script = new Script(settings(1, 0, SAFE, SAFE)).workers(4);
+        int[] late = new int[2];
+        for (int round = 0; round < 120; round++) {
+            String prefix = "job" + round + "-";
+            Set<String> slow = new TreeSet<>();
+            for (int j = 0; j < 12; j++) {
+                String id = prefix + j;
+                script.job(id, j % 2, 0, null);
+            }
+            script.pass(SECOND / 20);
+            for (Send send : only(script.all, Send.class)) {
+                if (send.job().startsWith(prefix)) {
+                    script.started(send.job(), 0);
+                    if (send.worker().compareTo("w2") < 0) {
+                        slow.add(send.job());
+                    }
+                }
+            }
+            script.pass(SECOND / 10);
+            only(script.all, Send.class).stream().map(Send::job)
+                .filter(job -> job.startsWith(prefix) && !slow.contains(job))
+                .forEach(job -> script.ended(job, 0, Outcome.SERVED));
+            script.pass(SECOND);
+            slow.forEach(job -> script.ended(job, 0, Outcome.SERVED));
+            late[round < 60 ? 0 : 1] += slow.size();
+        }
+        assertTrue(late[0] > 0 && late[1] < late[0] / 2, late[0] + ", then " + late[1] + " at slow workers");
+    }
 }
