--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -175,6 +175,11 @@
         }
     }
 
+    /** The timer's label at which a job gets its final answer; a dispatcher may have it fall due earlier. */
+    public static String lastLabel(String job) {
+        return OF_JOB + job;
+    }
+
     private void start() {
         started = true;
         loggedAt = dealtAt = quotaAt = now;
--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -151,6 +151,12 @@
         }
     }
 
+    /** No query can be waited for any longer: whatever is open gets its final answer, as at its deadline. */
+    public void answerAll() {
+        exchanges.values().stream().filter(exchange -> !exchange.closed()).map(exchange -> exchange.query().id())
+            .toList().forEach(id -> tell(new TimerDue(Rules.lastLabel(id))));
+    }
+
     // ---- the server side
 
     public void started(Execution execution) {
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -30,7 +30,7 @@
      * connections serve one last query each for as long, since another scheduler may just be starting.
      */
     private static final long LEAVING_US = 2_400_000;
-    /** What is taken in after a stop was told is answered within this time of it: the process may be killed then. */
+    /** Whatever is open is answered within this time of a stop being told: the process may be killed soon after. */
     private static final long LAST_ANSWER_US = 3_450_000;
     /** Descriptors for what is neither a client's nor a worker's connection: files, the selector, discovery. */
     private static final int OTHER_SOCKETS = 24;
@@ -114,7 +114,10 @@
     @Override
     public void leave() {
         long longest = config.site().deadlinesUs().stream().mapToLong(Long::longValue).max().orElse(0);
-        loop.execute(() -> clients.answerBy(loop.now() + LAST_ANSWER_US));
+        loop.execute(() -> {
+            clients.answerBy(loop.now() + LAST_ANSWER_US);
+            loop.in(LAST_ANSWER_US, driver::answerAll);
+        });
         loop.execute(() -> new Leave(loop, phase, LEAVING_US, longest, this::shut, this::done).begin());
     }
 
--- a/src/test/java/damsonslip/platform/PlatformTest.java
+++ b/src/test/java/damsonslip/platform/PlatformTest.java
@@ -491,6 +491,19 @@
         assertTrue(program.said().contains("queries_taken=3 answers_served=3 executions_sent=3"), program.said());
     }
 
+    /** The process may be killed 3.7 s after SIGTERM: a query that runs for longer is told so before. */
+    @Test
+    void aStopAnswersWhatCannotBeWaitedFor() throws Exception {
+        start(worker("a", SAY_NOTHING));
+        Peer client = Peer.connect(port).send(query("q1", "submit", "20000m"));
+        Program.await("it is sent", () -> jobs("a") == 1);
+        program.terminate();
+        long before = System.nanoTime();
+        assertEquals(502, client.message().status());
+        assertTrue(System.nanoTime() - before < 3_700_000_000L);
+        assertEquals(143, program.exit());
+    }
+
     @Test
     void badConfigurationEndsTheProgramWithOnePlainLine() throws Exception {
         for (String text : List.of("{", "{}",
