--- a/src/main/java/damsonslip/Dispatch.java
+++ b/src/main/java/damsonslip/Dispatch.java
@@ -1,6 +1,7 @@
 package damsonslip;
 
 import java.util.List;
+import java.util.function.Predicate;
 
 /**
  * The interface between a dispatcher and its decisions: settings, events and actions.
@@ -182,10 +183,11 @@
 
     /**
      * A client's job; {@code subject} is null where jobs belong to no program or data set, and {@code mostRuns}
-     * bounds the attempts that may have run below what its class allows.
+     * bounds the attempts that may have run below what its class allows; {@code fits} tells which workers can take
+     * the job at all, by id, and is null if each can.
      */
     record JobArrived(String job, int jobClass, int tenant, Long subject, long deadlineUs, int slots,
-                      double memory, int mostRuns) implements Event {
+                      double memory, int mostRuns, Predicate<String> fits) implements Event {
         public JobArrived {
             require(job != null, "a job without an id");
             require(slots >= 1, "slots of a job: " + slots);
@@ -194,7 +196,12 @@
 
         public JobArrived(String job, int jobClass, int tenant, Long subject, long deadlineUs, int slots,
                           double memory) {
-            this(job, jobClass, tenant, subject, deadlineUs, slots, memory, Integer.MAX_VALUE);
+            this(job, jobClass, tenant, subject, deadlineUs, slots, memory, Integer.MAX_VALUE, null);
+        }
+
+        /** Whether this worker can take it. */
+        boolean fits(String worker) {
+            return fits == null || fits.test(worker);
         }
     }
 
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -589,10 +589,11 @@
         return w == null && waited ? borrow(pool, job) : w;
     }
 
-    /** A worker of another pool that is mostly free: a slow or dead pool beside idle ones. */
+    /** A worker of another pool that is mostly free, or of any if none of the own can ever take the job. */
     private Worker borrow(Pool pool, Job job) {
+        boolean foreign = pool.members.stream().noneMatch(w -> job.ask.fits(w.id));
         for (Pool other : pools) {
-            if (other != pool && other.hold.isEmpty() && other.freeShare >= SPARE) {
+            if (other != pool && (foreign || other.hold.isEmpty() && other.freeShare >= SPARE)) {
                 Worker w = choose(other, job, true);
                 if (w != null) {
                     borrowed++;
@@ -678,7 +679,7 @@
     private boolean mayTake(Worker w, Job job) {
         int kind = pools[job.ask.jobClass()].of.kind();
         return w.running && now >= w.pausedUntil && (kind < 0 || kind == w.kind) && !silent(w)
-            && trusts(w, job) && coldAllows(w, cost(job));
+            && job.ask.fits(w.id) && trusts(w, job) && coldAllows(w, cost(job));
     }
 
     /** A worker struck more than once is tried with what may be repeated, if there are others. */
--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -137,7 +137,7 @@
         }
         exchanges.put(query.id(), exchange);
         tell(new JobArrived(query.id(), query.jobClass(), 0, query.subject(), query.deadlineUs(), query.slots(),
-            query.memory(), query.mostRuns()));
+            query.memory(), query.mostRuns(), query.fits()));
         return exchange;
     }
 
--- a/src/main/java/damsonslip/core/Query.java
+++ b/src/main/java/damsonslip/core/Query.java
@@ -1,5 +1,7 @@
 package damsonslip.core;
 
+import java.util.function.Predicate;
+
 /**
  * What a client asks for, in the core's words.
  *
@@ -10,10 +12,11 @@
  * @param memory     the units of memory that it takes
  * @param subject    what it concerns, or null
  * @param mostRuns   how often it may run at the most, whatever its class allows
+ * @param fits       which workers can take it at all, by id; or null if each can
  * @param cargo      what the front passes on to a worker; the core does not look into it
  */
 public record Query(String id, int jobClass, long deadlineUs, int slots, double memory, Long subject,
-                    int mostRuns, Cargo cargo) {
+                    int mostRuns, Predicate<String> fits, Cargo cargo) {
     /** A front's own form of a query's content. */
     public interface Cargo { }
 }
--- a/src/main/java/damsonslip/faktory/Consumer.java
+++ b/src/main/java/damsonslip/faktory/Consumer.java
@@ -6,8 +6,10 @@
 import damsonslip.core.Loop;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 
 /** A worker process: its connections, the slots that it offers by fetching, and what it has in hand. */
@@ -15,6 +17,9 @@
     /** A FETCH that waits for a job. */
     record Offer(FaktoryLink link, List<String> queues, Loop.Timer timeout) { }
 
+    /** Names of queues remembered for one worker: one that makes names up must not fill the memory. */
+    private static final int MOST_QUEUES = 1_000;
+
     final String wid;
     final String process;
     final int zone;
@@ -26,6 +31,10 @@
     Status status = Status.RUNNING;
     long startedUs;
     long beatUs;
+    /** What it says of its memory, in KiB; 0 if it does not. */
+    long rssKb;
+    /** When it last fetched from each queue. */
+    private final Map<String, Long> fetched = new HashMap<>();
     /** What an operator asks of it, told with its next beat; or empty. */
     String asked = "";
 
@@ -41,6 +50,28 @@
         return status == Status.RUNNING;
     }
 
+    void fetched(List<String> queues, long nowUs) {
+        queues.forEach(queue -> fetched.put(queue, nowUs));
+        if (fetched.size() > MOST_QUEUES) {
+            fetched.values().removeIf(at -> at < nowUs);
+        }
+    }
+
+    /** Whether it has fetched from this queue since then. */
+    boolean fetches(String queue, long sinceUs) {
+        return fetched.getOrDefault(queue, Long.MIN_VALUE) >= sinceUs || offers(queue);
+    }
+
+    /** Whether a FETCH from this queue waits. */
+    boolean offers(String queue) {
+        for (Offer offer : offers) {
+            if (offer.queues().contains(queue) && !offer.link().isClosed()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** The first waiting FETCH that takes from this queue, no longer waiting; or null. */
     Offer takeOffer(String queue) {
         for (Offer offer : offers) {
--- a/src/main/java/damsonslip/faktory/Consumers.java
+++ b/src/main/java/damsonslip/faktory/Consumers.java
@@ -11,9 +11,13 @@
 import damsonslip.core.Loop;
 import damsonslip.core.WorkerSide;
 import damsonslip.faktory.Consumer.Offer;
+import damsonslip.faktory.codec.Command;
+import damsonslip.faktory.codec.JobText;
+import damsonslip.faktory.codec.Reply;
+import damsonslip.faktory.sets.Fate;
 import damsonslip.settings.Site;
 import damsonslip.store.AsyncStore;
-import damsonslip.store.JobRecord;
+import damsonslip.store.Op;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -26,7 +30,7 @@
  * The server side: workers that fetch. A FETCH offers a slot; which job goes there is the module's decision,
  * and nothing is handed out before the store knows of it.
  */
-final class Consumers implements WorkerSide {
+final class Consumers implements WorkerSide, Fetchers {
     private static final Logger LOG = LoggerFactory.getLogger(Consumers.class);
     /** A FETCH without a job is answered after this long, as the protocol has it. */
     private static final long FETCH_US = 2_000_000;
@@ -37,12 +41,15 @@
     /** A worker that does not beat for this long is taken to be gone. */
     private static final long BEAT_US = 60_000_000;
     private static final long SWEEP_US = 500_000;
+    /** A worker fetches from a queue if it did within this time: one FETCH waits for two seconds, its run may take more. */
+    private static final long FETCHED_US = 30_000_000;
 
     private final Loop loop;
     private final Site site;
     private final Driver driver;
     private final AsyncStore store;
     private final Counters counters;
+    private Desk desk;
     private final Map<String, Consumer> consumers = new HashMap<>();
     /** What is with a worker, by job. */
     private final Map<String, Reservation> reservations = new HashMap<>();
@@ -69,6 +76,11 @@
         loop.in(SWEEP_US, this::sweep);
     }
 
+    /** Where jobs come from, and go when they have not run; before anything else is told. */
+    void begin(Desk from) {
+        desk = from;
+    }
+
     Collection<Consumer> all() {
         return consumers.values();
     }
@@ -97,7 +109,7 @@
         fresh.beatUs = now;
         consumers.put(hello.wid(), fresh);
         list(fresh);
-        store.ask(s -> s.firstSeen(fresh.wid + "@" + fresh.process, now / 1000), sinceMs -> {
+        store.ask(new Op.FirstSeen(fresh.wid + "@" + fresh.process, now / 1000), sinceMs -> {
             if (sinceMs * 1000 < fresh.startedUs) {
                 fresh.startedUs = sinceMs * 1000;
                 list(fresh);
@@ -135,6 +147,7 @@
             return;
         }
         consumer.beatUs = loop.now();
+        consumer.rssKb = beat.rssKb();
         if (beat.state().equals("quiet") || beat.state().equals("terminate")) {
             stop(consumer, Status.DRAINING);
         }
@@ -167,12 +180,13 @@
         while (!consumer.offers.isEmpty()) {
             Offer offer = consumer.offers.poll();
             offer.timeout().cancel();
-            offer.link().reply(Reply.NOTHING.duplicate());
+            offer.link().reply(Reply.nothing());
         }
         if (status == Status.GONE) {
             consumers.remove(consumer.wid);
             for (Reservation held : List.copyOf(reservations.values())) {
                 if (held.consumer == consumer && held.handedOut) {
+                    job(held.execution).failure = Fate.Words.GONE;
                     end(held, Outcome.RESET);
                 }
             }
@@ -199,13 +213,15 @@
             return;
         }
         if (!consumer.runs()) {
-            loop.in(FETCH_US, () -> link.reply(Reply.NOTHING.duplicate()));
+            loop.in(FETCH_US, () -> link.reply(Reply.nothing()));
             return;
         }
+        consumer.beatUs = loop.now(); // it lives
+        consumer.fetched(fetch.queues(), loop.now());
         Offer[] offer = new Offer[1];
         offer[0] = new Offer(link, fetch.queues(), loop.in(FETCH_US, () -> {
             if (consumer.offers.remove(offer[0])) {
-                link.reply(Reply.NOTHING.duplicate());
+                link.reply(Reply.nothing());
             }
         }));
         consumer.offers.add(offer[0]);
@@ -218,6 +234,7 @@
             }
         }
         report(consumer);
+        desk.feedSoon();
     }
 
     private void report(Consumer consumer) {
@@ -228,8 +245,31 @@
         return new Report(Math.max(0, consumer.offers.size() - consumer.expected.size()), Double.NaN, Double.NaN);
     }
 
-    private static Job job(Execution execution) {
-        return (Job) execution.query().cargo();
+    private static Handover job(Execution execution) {
+        return (Handover) execution.query().cargo();
+    }
+
+    // ---- what the desk asks
+
+    @Override
+    public boolean fetches(String worker, String queue) {
+        Consumer consumer = consumers.get(worker);
+        return consumer != null && consumer.fetches(queue, loop.now() - FETCHED_US);
+    }
+
+    @Override
+    public boolean offered(String queue) {
+        for (Consumer consumer : consumers.values()) {
+            if (consumer.runs() && consumer.offers(queue)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    @Override
+    public boolean present(String worker) {
+        return consumers.containsKey(worker);
     }
 
     // ---- executions
@@ -259,41 +299,51 @@
      * calls queued was never given to anybody, and one that it calls reserved may have run.
      */
     private void reserve(Execution execution, Consumer consumer, Offer offer) {
-        Job job = job(execution);
+        Handover job = job(execution);
         Reservation held = new Reservation(execution, consumer);
         reservations.put(job.jid(), held);
-        JobRecord record = new JobRecord(job.jid(), JobRecord.State.RESERVED, job.json(), job.deadlineMs(),
-            consumer.wid, "", loop.now() / 1000);
-        store.ask(s -> {
-            s.put(record);
-            return record;
-        }, done -> handOut(held, offer), () -> handBack(held, offer, Outcome.FULL));
+        desk.ledger().move(job.entry, job.record().reserved(consumer.wid, loop.now() / 1000));
+        store.ask(new Op.Take(job.record()), body -> handOut(held, offer, body),
+            () -> handBack(held, offer, Outcome.FULL));
     }
 
-    private void handOut(Reservation held, Offer offer) {
-        Job job = job(held.execution);
+    private void handOut(Reservation held, Offer offer, String body) {
+        Handover job = job(held.execution);
         boolean wanted = held.execution.open() && reservations.get(job.jid()) == held;
-        if (!wanted || !held.consumer.runs() || offer.link().isClosed()) {
+        if (!wanted || body == null || !held.consumer.runs() || offer.link().isClosed()) {
             handBack(held, offer, Outcome.FULL);
             return;
         }
         counters.add(Count.FETCHES_ANSWERED);
         held.handedOut = true;
-        held.lapse = loop.in(job.reserveMs() * 1000, () -> end(held, Outcome.RESET));
-        offer.link().reply(Reply.bulk(job.json()));
+        job.ran = true;
+        job.failure = null;
+        held.lapse = loop.in(job.record().facts().reserveMs() * 1000, () -> lapse(held));
+        offer.link().reply(Reply.bulk(JobText.whole(body, job.record(), job.entry.enqueuedMs())));
         driver.started(held.execution);
     }
 
+    private void lapse(Reservation held) {
+        job(held.execution).failure = Fate.Words.LAPSED;
+        end(held, Outcome.RESET);
+    }
+
+    /** A worker tells that it needs longer, up to this time; gives false if it does not have the job. */
+    boolean extend(Consumer by, String jid, long untilMs) {
+        Reservation held = reservations.get(jid);
+        if (held == null || held.consumer != by || !held.handedOut) {
+            return false;
+        }
+        held.lapse.cancel();
+        held.lapse = loop.at(untilMs * 1000, () -> lapse(held));
+        return true;
+    }
+
     /** The job has not left: its slot is offered again, and the module may place it elsewhere. */
     private void handBack(Reservation held, Offer offer, Outcome outcome) {
-        Job job = job(held.execution);
+        Handover job = job(held.execution);
         if (reservations.remove(job.jid(), held) && held.execution.open()) {
-            JobRecord record = new JobRecord(job.jid(), JobRecord.State.QUEUED, job.json(), job.deadlineMs(), "", "",
-                loop.now() / 1000);
-            store.ask(s -> {
-                s.put(record);
-                return record;
-            }, done -> { }, () -> { });
+            desk.unreserve(job);
         }
         if (!offer.link().isClosed()) {
             fetch(offer.link(), new Command.Fetch(offer.queues()));
@@ -322,13 +372,25 @@
         }
     }
 
-    /** A worker tells how a job ended; gives false if the job is not, or no longer, in this worker's hand. */
-    boolean reported(Consumer by, String jid, boolean done) {
+    /**
+     * A worker tells how a job ended; gives false if the job is not, or no longer, in this worker's hand.
+     *
+     * @param how  how it failed; null if it was done
+     * @param told hears once the word is safe: null, or an error
+     */
+    boolean reported(Consumer by, String jid, Fate.Words how, java.util.function.Consumer<String> told) {
         Reservation held = reservations.get(jid);
         if (held == null || held.consumer != by || !held.handedOut) {
             return false;
         }
-        end(held, done ? Outcome.SERVED : Outcome.ERROR);
+        Handover job = job(held.execution);
+        job.failure = how;
+        job.teller = told;
+        end(held, how == null ? Outcome.SERVED : Outcome.ERROR);
+        if (job.teller != null) { // the module goes on with it, so that there is nothing to be written yet
+            job.teller = null;
+            told.accept(null);
+        }
         return true;
     }
 
--- a/src/main/java/damsonslip/faktory/Faktory.java
+++ b/src/main/java/damsonslip/faktory/Faktory.java
@@ -1,6 +1,5 @@
 package damsonslip.faktory;
 
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import damsonslip.core.Counters;
 import damsonslip.core.Counters.Count;
 import damsonslip.core.Driver;
@@ -9,20 +8,23 @@
 import damsonslip.core.Loop;
 import damsonslip.core.Phase;
 import damsonslip.core.Phase.State;
+import damsonslip.faktory.codec.Command;
+import damsonslip.faktory.codec.Reply;
+import damsonslip.faktory.sets.Fate;
+import damsonslip.faktory.sets.Ledger;
 import damsonslip.net.Address;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
 import damsonslip.net.Room;
 import damsonslip.settings.BadInput;
 import damsonslip.store.AsyncStore;
-import damsonslip.store.JobRecord;
 import damsonslip.store.JobStore;
 import damsonslip.store.MemoryStore;
 import damsonslip.store.RedisStore;
 import java.io.Closeable;
 import java.io.IOException;
 import java.security.SecureRandom;
-import java.time.Instant;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import org.eclipse.jetty.io.EndPoint;
@@ -34,6 +36,11 @@
     private static final Logger LOG = LoggerFactory.getLogger(Faktory.class);
     private static final long LEAVING_US = 300_000;
     private static final long CONNECT_MS = 250;
+    /** A worker's words on a failure are kept up to these lengths: they stay in memory while the job waits. */
+    private static final int LONGEST_TYPE = 256;
+    private static final int LONGEST_WORDS = 2_048;
+    /** Words on jobs kept while the store's jobs are being taken up. */
+    private static final int MOST_EARLY = 10_000;
 
     private final Loop loop;
     private final Phase phase;
@@ -44,9 +51,15 @@
     private final Driver driver;
     private final AsyncStore store;
     private final Consumers consumers;
+    private final Desk desk;
+    private final Workshop batches;
     private final Producers producers;
+    private final Operators operators;
     private final Room<FaktoryLink> links;
-    private final long startedUs;
+    /** Words on jobs that came before the store's jobs were taken up; null since. */
+    private List<Runnable> early = new ArrayList<>();
+    private long commands;
+    private long heldBytes;
     private Closeable listener;
 
     public Faktory(Loop loop, Phase phase, Counters counters, FaktoryConfig config, String file)
@@ -57,13 +70,18 @@
         this.config = config;
         this.file = file;
         this.password = new Password(config.password());
-        this.startedUs = loop.now();
         this.links = new Room<>(config.links(), config.links() / 8, link -> !link.greeted(),
             Comparator.comparingLong(FaktoryLink::openedUs));
         this.driver = new Driver(config.site().settings(), new SecureRandom().nextLong(), loop, counters);
         this.store = new AsyncStore(loop, store(config));
         this.consumers = new Consumers(loop, config.site(), driver, store, counters);
-        this.producers = new Producers(loop, config.site(), driver, store, phase, counters);
+        this.desk = new Desk(loop, config.site(), driver, store, phase, counters,
+            new Ledger(config.site().classNames().size(), config.waiting()), consumers);
+        this.batches = new Workshop(store, desk);
+        this.producers = new Producers(loop, store, phase, counters, config, desk, batches);
+        this.operators = new Operators(loop, store, counters, desk, batches, consumers);
+        consumers.begin(desk);
+        batches.begin(producers);
     }
 
     private static JobStore store(FaktoryConfig config) throws BadInput {
@@ -83,7 +101,8 @@
             Links network = Links.start(loop, CONNECT_MS);
             loop.execute(() -> {
                 driver.begin(consumers, List.of());
-                producers.resume();
+                new Recovery(loop, config.site(), store, counters, config.routes(), desk, batches, this::recovered)
+                    .begin();
                 phase.moveTo(State.SERVING);
             });
             listener = network.listen(Address.parse(config.listen()), this);
@@ -162,60 +181,96 @@
 
     /** One command of a connection that has said HELLO; it gets one reply. */
     void take(FaktoryLink link, Command command) {
+        commands++;
         if (command instanceof Command.Push push) {
             producers.push(link, push);
         } else if (command instanceof Command.Fetch fetch) {
             consumers.fetch(link, fetch);
         } else if (command instanceof Command.Ack ack) {
-            reported(link, ack.jid(), true, "");
+            reported(link, ack.jid(), null);
         } else if (command instanceof Command.Fail fail) {
-            reported(link, fail.jid(), false, fail.type() + ": " + fail.message());
+            reported(link, fail.jid(), new Fate.Words(cut(fail.type(), LONGEST_TYPE), cut(fail.message(), LONGEST_WORDS),
+                fail.backtrace()));
         } else if (command instanceof Command.Beat beat) {
             consumers.beat(link, beat);
-        } else if (command instanceof Command.Track track) {
+        } else if (command instanceof Command.TrackGet track) {
             producers.track(link, track.jid());
+        } else if (command instanceof Command.TrackSet track) {
+            progressed(link, track);
         } else if (command instanceof Command.Info) {
-            link.reply(Reply.bulk(info()));
+            link.reply(Reply.bulk(operators.info(links.all().size(), commands)));
         } else if (command instanceof Command.End) {
             link.end();
+        } else {
+            manage(link, command);
+        }
+    }
+
+    private void manage(FaktoryLink link, Command command) {
+        if (command instanceof Command.Mutate mutate) {
+            operators.mutate(link, mutate);
+        } else if (command instanceof Command.Queue queue) {
+            operators.queue(link, queue);
+        } else if (command instanceof Command.Flush) {
+            operators.flush(link);
+        } else if (command instanceof Command.BatchNew fresh) {
+            batches.create(link, fresh);
+        } else if (command instanceof Command.BatchOpen open) {
+            batches.open(link, open.bid());
+        } else if (command instanceof Command.BatchCommit commit) {
+            batches.commit(link, commit.bid());
+        } else if (command instanceof Command.BatchStatus status) {
+            batches.status(link, status.bid());
         } else {
             link.reply(Reply.error("ERR HELLO was said already"));
         }
     }
 
+    private static String cut(String text, int most) {
+        return text.length() <= most ? text : text.substring(0, most);
+    }
+
     /**
      * A worker's word on a job. One that comes after the job's end, or from a worker that no longer has it, is
      * taken note of and changes nothing: the final answer is given.
      */
-    private void reported(FaktoryLink link, String jid, boolean done, String words) {
+    private void reported(FaktoryLink link, String jid, Fate.Words how) {
         if (link.consumer() == null) {
             link.reply(Reply.error("ERR only a worker may tell how a job ended"));
             return;
         }
-        JobRecord.State state = done ? JobRecord.State.SUCCESS : JobRecord.State.FAILED;
-        if (!consumers.reported(link.consumer(), jid, done)
-            && !producers.settle(link.consumer().wid, jid, state, words)) {
+        if (early != null) { // the job may be among those that are being taken up from the store
+            if (early.size() < MOST_EARLY) {
+                early.add(() -> reported(link, jid, how));
+            } else {
+                link.reply(Reply.error("ERR what is in the store is being taken up; tell it again in a moment"));
+            }
+            return;
+        }
+        java.util.function.Consumer<String> told =
+            error -> link.reply(error == null ? Reply.ok() : Reply.error(error));
+        if (!consumers.reported(link.consumer(), jid, how, told) && !desk.settle(link.consumer().wid, jid, how, told)) {
             counters.add(Count.WORDS_LATE);
+            link.reply(Reply.ok());
+        }
+    }
+
+    private void progressed(FaktoryLink link, Command.TrackSet track) {
+        producers.progress(track);
+        if (track.reserveUntilMs() > 0 && (link.consumer() == null
+            || !consumers.extend(link.consumer(), track.jid(), track.reserveUntilMs()))) {
+            link.reply(Reply.error("ERR this worker does not have job " + track.jid()));
+            return;
         }
         link.reply(Reply.ok());
     }
 
-    private String info() {
-        ObjectNode info = Command.JSON.createObjectNode().put("server_utc_time", Instant.now().toString());
-        ObjectNode jobs = info.putObject("faktory");
-        jobs.put("default_size", driver.open()).put("total_enqueued", driver.open() - consumers.inHand())
-            .put("total_processed", counters.get(Count.ANSWERS_SERVED))
-            .put("total_failures", counters.get(Count.EXECUTIONS_ERROR));
-        ObjectNode tasks = jobs.putObject("tasks");
-        tasks.putObject("Workers").put("size", consumers.all().size());
-        tasks.putObject("Working").put("size", consumers.inHand());
-        ObjectNode server = info.putObject("server");
-        server.put("description", "damsonslip").put("faktory_version", "2").put("connections", links.all().size())
-            .put("uptime", (loop.now() - startedUs) / 1_000_000)
-            .put("used_memory_mb", Runtime.getRuntime().totalMemory() >> 20);
-        ObjectNode counted = info.putObject("counters");
-        counters.each(counted::put);
-        return info.toString();
+    private void recovered() {
+        producers.ready();
+        batches.ready();
+        List<Runnable> words = early;
+        early = null;
+        words.forEach(Runnable::run);
     }
 
     Consumers consumers() {
@@ -226,6 +281,23 @@
         return password;
     }
 
+    /** A link holds so many bytes more, or fewer, of lines that have not ended. */
+    void holds(int more) {
+        heldBytes += more;
+    }
+
+    long held() {
+        return heldBytes;
+    }
+
+    int longestLine() {
+        return config.longestLine();
+    }
+
+    void wrongPassword() {
+        counters.add(Count.PASSWORDS_WRONG);
+    }
+
     Loop loop() {
         return loop;
     }
--- a/src/main/java/damsonslip/faktory/FaktoryConfig.java
+++ b/src/main/java/damsonslip/faktory/FaktoryConfig.java
@@ -3,12 +3,18 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.dataformat.toml.TomlMapper;
+import damsonslip.faktory.routes.Routes;
+import damsonslip.faktory.sets.Glob;
+import damsonslip.faktory.sets.Ledger;
 import damsonslip.settings.BadInput;
 import damsonslip.settings.Site;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 
 /**
  * The operator's file.
@@ -20,11 +26,24 @@
  * @param storePassword the store's password, or empty
  * @param console       where the console connects, or empty
  * @param links         how many connections it holds at the most
+ * @param longestLine   the longest line that a peer may send, in bytes
+ * @param leastReserveS a job's shorter {@code reserve_for} is raised to this, in seconds
+ * @param waiting       how much may wait
+ * @param routes        which class a job belongs to
  * @param site          classes, limits and the figures of the rules
  */
 public record FaktoryConfig(String name, String listen, String password, String store, String storePassword,
-                            String console, int links, Site site) {
+                            String console, int links, int longestLine, int leastReserveS, Ledger.Limits waiting,
+                            Routes routes, Site site) {
     private static final int LINKS = 800;
+    /** A thousand jobs of a kilobyte each, as the official clients push them in bulk. */
+    private static final int LONGEST_LINE = 1024 * 1024;
+    /** The protocol's own least reservation. */
+    private static final int LEAST_RESERVE_S = 60;
+    private static final int WAITING = 200_000;
+    /** The protocol's own figures for the dead: so many, and half a year. */
+    private static final int DEAD = 10_000;
+    private static final int DEAD_DAYS = 180;
 
     public static FaktoryConfig read(String file) throws BadInput {
         try {
@@ -33,10 +52,15 @@
             if (!store.equals("memory") && !store.startsWith("redis://")) {
                 throw new BadInput("config: store: neither memory nor redis://host:port: " + store);
             }
+            Site site = Site.read(root.path("settings"));
+            JsonNode jobs = root.path("jobs");
+            int waiting = whole(jobs, "waiting", WAITING, 1);
+            Ledger.Limits limits = new Ledger.Limits(waiting, whole(jobs, "per_queue", waiting, 1),
+                whole(jobs, "dead", DEAD, 0), TimeUnit.DAYS.toMillis(whole(jobs, "dead_days", DEAD_DAYS, 0)));
             return new FaktoryConfig(text(root, "name"), text(root, "listen"), root.path("password").asText(""),
                 store, root.path("store_password").asText(""), root.path("console").asText(""),
-                Math.max(1, root.path("links").asInt(LINKS)),
-                Site.read(root.path("settings")));
+                whole(root, "links", LINKS, 1), whole(root, "longest_line", LONGEST_LINE, 1024),
+                whole(jobs, "least_reserve_s", LEAST_RESERVE_S, 1), limits, routes(root, jobs, site), site);
         } catch (JsonProcessingException e) {
             throw new BadInput("config: " + file + ": not TOML: "
                 + e.getOriginalMessage().lines().findFirst().orElse(""));
@@ -45,6 +69,36 @@
         }
     }
 
+    private static Routes routes(JsonNode root, JsonNode jobs, Site site) throws BadInput {
+        List<Routes.Route> routes = new ArrayList<>();
+        for (JsonNode route : root.path("route")) {
+            routes.add(new Routes.Route(new Glob(route.path("queue").asText("*")),
+                new Glob(route.path("jobtype").asText("*")), jobClass("route: class", text(route, "class"), site)));
+        }
+        String rest = jobs.path("default_class").asText("");
+        return new Routes(List.copyOf(routes), rest.isEmpty() ? -1 : jobClass("jobs: default_class", rest, site),
+            site.classNames());
+    }
+
+    private static int jobClass(String where, String name, Site site) throws BadInput {
+        int index = site.classNames().indexOf(name);
+        if (index < 0) {
+            throw new BadInput("config: " + where + ": no class of this name: " + name);
+        }
+        return index;
+    }
+
+    private static int whole(JsonNode node, String name, int fallback, int least) throws BadInput {
+        JsonNode value = node.path(name);
+        if (value.isMissingNode()) {
+            return fallback;
+        }
+        if (!value.isIntegralNumber() || !value.canConvertToInt() || value.intValue() < least) {
+            throw new BadInput("config: " + name + ": not a whole number of " + least + " or more: " + value);
+        }
+        return value.intValue();
+    }
+
     private static String text(JsonNode root, String name) throws BadInput {
         String value = root.path(name).asText("");
         if (value.isBlank()) {
--- a/src/main/java/damsonslip/faktory/FaktoryLink.java
+++ b/src/main/java/damsonslip/faktory/FaktoryLink.java
@@ -1,5 +1,8 @@
 package damsonslip.faktory;
 
+import damsonslip.faktory.codec.Command;
+import damsonslip.faktory.codec.Malformed;
+import damsonslip.faktory.codec.Reply;
 import damsonslip.net.Lines;
 import damsonslip.net.Link;
 import java.nio.ByteBuffer;
@@ -11,12 +14,18 @@
  * A producer's or worker's connection: one command at a time, each with its reply before the next is looked at.
  */
 final class FaktoryLink extends Link {
-    private static final int MOST_LINE = 256 * 1024;
+    /** A HELLO with every label that a worker may have. */
+    private static final int LONGEST_HELLO = 16 * 1024;
+    /** A line up to this length has its room whatever others hold. */
+    private static final int SHORT_LINE = 32 * 1024;
+    /** All unfinished lines together may hold this part of the heap. */
+    private static final int PART_OF_HEAP = 16;
     private static final long HELLO_US = 2_000_000;
 
     private final Faktory faktory;
     private final String salt = Password.salt();
-    private final Lines lines = new Lines(MOST_LINE);
+    private final Lines lines;
+    private int begun;
     private final ArrayDeque<String> ahead = new ArrayDeque<>();
     private long openedUs;
     private boolean greeted;
@@ -27,6 +36,7 @@
     FaktoryLink(EndPoint endPoint, Faktory faktory) {
         super(endPoint, faktory.loop());
         this.faktory = faktory;
+        this.lines = new Lines(faktory.longestLine());
     }
 
     boolean greeted() {
@@ -62,10 +72,16 @@
         byte[] part = new byte[bytes.remaining()];
         bytes.get(part);
         List<String> whole = lines.take(part);
-        if (whole == null) {
+        if (whole == null || !greeted && lines.begun() > LONGEST_HELLO) {
             refuse("ERR a line too long");
             return;
         }
+        faktory.holds(lines.begun() - begun);
+        begun = lines.begun();
+        if (begun > SHORT_LINE && faktory.held() > Runtime.getRuntime().maxMemory() / PART_OF_HEAP) {
+            refuse("ERR too much is being sent here at once; come back in a moment");
+            return;
+        }
         ahead.addAll(whole);
         next();
     }
@@ -84,7 +100,7 @@
                 } else {
                     greet(command);
                 }
-            } catch (Command.Malformed e) {
+            } catch (Malformed e) {
                 if (greeted) {
                     reply(Reply.error("ERR " + e.getMessage()));
                 } else {
@@ -101,15 +117,16 @@
         }
     }
 
-    private void greet(Command command) throws Command.Malformed {
+    private void greet(Command command) throws Malformed {
         if (!(command instanceof Command.Hello hello)) {
-            throw new Command.Malformed("HELLO comes first");
+            throw new Malformed("HELLO comes first");
         }
         if (hello.version() > 2) {
-            throw new Command.Malformed("only version 2 is spoken here");
+            throw new Malformed("only version 2 is spoken here");
         }
         if (faktory.password().needed() && !faktory.password().proves(salt, hello.passwordHash())) {
-            throw new Command.Malformed("invalid password");
+            faktory.wrongPassword();
+            throw new Malformed("invalid password");
         }
         greeted = true;
         consumer = hello.wid().isEmpty() ? null : faktory.consumers().joined(hello, this);
@@ -140,6 +157,8 @@
 
     @Override
     protected void released() {
+        faktory.holds(-begun);
+        begun = 0;
         faktory.closed(this);
     }
 }
--- a/src/main/java/damsonslip/faktory/Producers.java
+++ b/src/main/java/damsonslip/faktory/Producers.java
@@ -2,48 +2,74 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import damsonslip.Dispatch.Effect;
-import damsonslip.core.Answer;
 import damsonslip.core.Counters;
 import damsonslip.core.Counters.Count;
-import damsonslip.core.Driver;
 import damsonslip.core.Loop;
 import damsonslip.core.Phase;
 import damsonslip.core.Phase.State;
-import damsonslip.core.Query;
-import damsonslip.settings.Site;
+import damsonslip.faktory.codec.Command;
+import damsonslip.faktory.codec.Json;
+import damsonslip.faktory.codec.Malformed;
+import damsonslip.faktory.codec.Pushed;
+import damsonslip.faktory.codec.Reply;
+import damsonslip.faktory.routes.Routes;
+import damsonslip.faktory.sets.Ledger;
+import damsonslip.faktory.sets.Ledger.Entry;
 import damsonslip.store.AsyncStore;
 import damsonslip.store.JobRecord;
-import java.time.Instant;
+import damsonslip.store.Op;
 import java.util.HashMap;
-import java.util.List;
-import java.util.Locale;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
-/** The client side: producers that push, and the one final state of each job, which they may track. */
+/** The client side: producers that push, and the state of each job, which they may track. */
 final class Producers {
-    private static final Logger LOG = LoggerFactory.getLogger(Producers.class);
-    private static final long STORE_RETRY_US = 500_000;
+    private static final long LOOK_AGAIN_US = 500_000;
+    /** How far jobs are, in their workers' words, is remembered of this many. */
+    private static final int MOST_PROGRESS = 10_000;
+
+    private record Progress(int percent, String words, long atMs) { }
 
     private final Loop loop;
-    private final Site site;
-    private final Driver driver;
     private final AsyncStore store;
     private final Phase phase;
     private final Counters counters;
-    /** Jobs that were with a worker when the scheduler went down: they may have run, and may yet be told of. */
-    private final Map<String, JobRecord> orphans = new HashMap<>();
+    private final Routes routes;
+    private final int leastReserveS;
+    private final Desk desk;
+    private final Ledger ledger;
+    private final Workshop batches;
+    /** Pushes that are with the store, by id. */
+    private final Map<String, Integer> adding = new HashMap<>();
+    /** Jobs whose push got no answer from the store: the producer was told that they were not taken. */
+    private final Map<String, JobRecord> uncertain = new HashMap<>();
+    private final Map<String, Progress> progress = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Progress> eldest) {
+            return size() > MOST_PROGRESS;
+        }
+    };
+    /** Whether the store's jobs have been taken up. */
+    private boolean ready;
 
-    Producers(Loop loop, Site site, Driver driver, AsyncStore store, Phase phase, Counters counters) {
+    Producers(Loop loop, AsyncStore store, Phase phase, Counters counters, FaktoryConfig config, Desk desk,
+              Workshop batches) {
         this.loop = loop;
-        this.site = site;
-        this.driver = driver;
         this.store = store;
         this.phase = phase;
         this.counters = counters;
+        this.routes = config.routes();
+        this.leastReserveS = config.leastReserveS();
+        this.desk = desk;
+        this.ledger = desk.ledger();
+        this.batches = batches;
+    }
+
+    void ready() {
+        ready = true;
     }
 
     // ---- PUSH
@@ -53,7 +79,7 @@
             push(push.jobs().get(0), error -> link.reply(error == null ? Reply.ok() : Reply.error(error)));
             return;
         }
-        ObjectNode errors = Command.JSON.createObjectNode();
+        ObjectNode errors = Json.MAPPER.createObjectNode();
         int[] left = {push.jobs().size()};
         if (left[0] == 0) {
             link.reply(Reply.bulk("{}"));
@@ -71,130 +97,209 @@
     }
 
     /** Takes a job in; tells what is wrong with it, or null. */
-    private void push(JsonNode pushed, Consumer<String> then) {
+    private void push(JsonNode job, Consumer<String> then) {
         if (phase.atLeast(State.FINISHING)) {
             then.accept("SHUTDOWN this scheduler is going away");
             return;
         }
-        long nowMs = loop.now() / 1000;
-        Job job;
+        long nowMs = desk.nowMs();
+        Pushed pushed;
+        int jobClass;
         try {
-            job = Job.read(pushed, site, nowMs);
-        } catch (Command.Malformed e) {
+            pushed = Pushed.read(job, nowMs, leastReserveS);
+            String named = pushed.custom().className();
+            jobClass = routes.classOf(named, pushed.queue(), pushed.jobtype());
+            if (jobClass < 0) {
+                throw new Malformed("custom.class: " + (named.isEmpty()
+                    ? "is needed, since no route and no default class fits" : "unknown class: " + named));
+            }
+        } catch (Malformed e) {
             counters.add(Count.QUERIES_BAD);
             then.accept("MALFORMED " + e.getMessage());
             return;
         }
-        JobRecord fresh = new JobRecord(job.jid(), JobRecord.State.QUEUED, job.json(), job.deadlineMs(), "", "", nowMs);
-        store.ask(s -> {
-            JobRecord before = s.add(fresh);
-            if (before != null && before.state() == JobRecord.State.REFUSED) {
-                s.put(fresh); // a refusal promised that trying again does no harm
-                return null;
-            }
-            return before;
-        }, before -> {
-            if (before != null || driver.holds(job.jid())) {
-                counters.add(Count.PUSHES_REPEATED); // guards against a second run by a producer that lost the answer
-                then.accept(null);
-                return;
-            }
-            // a refusal at the door is told there; any later end is for those who track the job
-            then.accept(take(job, fresh));
-        }, () -> then.accept("ERR the store is down and the job was not taken; push it again"));
-    }
-
-    /** Gives the job to the core; tells a refusal that came at once, or null. */
-    private String take(Job job, JobRecord record) {
-        String[] refused = new String[1];
-        Query query = new Query(job.jid(), job.jobClass(), job.deadlineMs() * 1000, job.slots(), 0, null,
-            job.runs(), job);
-        driver.take(query, answer -> {
-            JobRecord.State state = switch (answer.kind()) {
-                case SERVED -> JobRecord.State.SUCCESS;
-                case THROTTLED -> JobRecord.State.REFUSED;
-                case FAILED -> JobRecord.State.FAILED;
-            };
-            String words = words(answer);
-            refused[0] = answer.kind() == Answer.Kind.THROTTLED ? "ERR " + words : null;
-            store.keep(record.to(state, "", words, loop.now() / 1000));
-        });
-        return refused[0];
+        JobRecord record = JobRecord.pushed(pushed.jid(), facts(pushed, jobClass, nowMs, ""), pushed.atMs(), nowMs)
+            .numbered(ledger.nextSeq());
+        String why = unwelcome(record, nowMs);
+        if (why != null) {
+            counters.add(Count.PUSHES_REFUSED);
+            then.accept(why);
+            return;
+        }
+        add(record, pushed.body(), jobClass, then);
     }
 
-    private static String words(Answer answer) {
-        return switch (answer.kind()) {
-            case SERVED -> "";
-            case THROTTLED -> answer.retryAfterUs() == 0 ? "throttled"
-                : String.format(Locale.ROOT, "throttled, retry after %.3f s", answer.retryAfterUs() / 1e6);
-            case FAILED -> answer.late() ? "out of time" : "failed";
-        };
+    private JobRecord.Facts facts(Pushed pushed, int jobClass, long nowMs, String callbackOf) {
+        Pushed.Custom custom = pushed.custom();
+        return new JobRecord.Facts(pushed.queue(), pushed.jobtype(), routes.classNames().get(jobClass),
+            pushed.priority(), pushed.retry(), pushed.reserveMs(), custom.slots(), custom.deadlineMs(),
+            custom.expiresMs(), custom.bid(), callbackOf,
+            custom.uniqueMs() == 0 ? "" : Unique.key(pushed), Math.max(nowMs, pushed.atMs()) + custom.uniqueMs(),
+            custom.untilStart(), pushed.backtrace());
     }
 
-    // ---- TRACK
+    /** Why it cannot be taken now, though it is in order; or null. */
+    private String unwelcome(JobRecord record, long nowMs) {
+        JobRecord.Facts facts = record.facts();
+        if (!ready && !(facts.uniqueKey().isEmpty() && facts.bid().isEmpty())) {
+            return "ERR what is in the store is being taken up; push it again in a moment";
+        }
+        String closed = facts.bid().isEmpty() ? null : batches.closed(facts.bid());
+        if (closed != null) {
+            return "ERR " + closed;
+        }
+        boolean known = ledger.get(record.id()) != null;
+        String full = record.awaited() && record.dueMs() == 0 || known ? null : ledger.full(facts.queue());
+        if (full != null) {
+            return "ERR " + full;
+        }
+        return ledger.lock(record.id(), facts, nowMs) ? null : "NOTUNIQUE Job not unique";
+    }
 
-    void track(FaktoryLink link, String jid) {
-        store.ask(s -> s.get(jid), record -> {
-            ObjectNode told = Command.JSON.createObjectNode().put("jid", jid);
-            told.put("state", record == null ? "unknown" : switch (record.state()) {
-                case QUEUED -> "enqueued";
-                case RESERVED -> "working";
-                case SUCCESS -> "success";
-                case REFUSED, FAILED -> "failed";
-            });
-            told.put("desc", record == null ? "" : record.detail());
-            told.put("updated_at", record == null ? "" : Instant.ofEpochMilli(record.updatedMs()).toString());
-            link.reply(Reply.bulk(told.toString()));
-        }, () -> link.reply(Reply.error("ERR the store is down")));
+    private void add(JobRecord record, String body, int jobClass, Consumer<String> then) {
+        adding.merge(record.id(), 1, Integer::sum);
+        store.ask(new Op.Add(record, body), before -> {
+            added(record.id());
+            then.accept(added(record, body, jobClass, before));
+        }, () -> {
+            added(record.id());
+            if (ledger.get(record.id()) == null) {
+                ledger.unlock(record.id(), record.facts());
+                uncertain.put(record.id(), record);
+                loop.in(LOOK_AGAIN_US, () -> withdraw(record));
+            }
+            then.accept("ERR the store is down and the job was not taken; push it again");
+        });
     }
 
-    // ---- after a restart
+    private void added(String jid) {
+        adding.computeIfPresent(jid, (id, count) -> count == 1 ? null : count - 1);
+    }
 
-    /** Takes up what the store holds from before; until the store answers, nothing is taken in anyway. */
-    void resume() {
-        store.ask(s -> s.unresolved(), this::resume, () -> loop.in(STORE_RETRY_US, this::resume));
+    /** The store has it, or had it before; tells a refusal at the door, or null. */
+    private String added(JobRecord record, String body, int jobClass, JobRecord before) {
+        JobRecord ours = uncertain.remove(record.id());
+        if (before == null) {
+            return take(record, jobClass);
+        }
+        if (before.state() == JobRecord.State.REFUSED) { // that promised that trying again does no harm
+            store.ask(new Op.Replace(record, body), done -> { }, () -> store.insist(new Op.Replace(record, body)));
+            return take(record, jobClass);
+        }
+        if (before.equals(ours) && ledger.get(record.id()) == null) {
+            return take(before, jobClass); // its first push took effect, and only the answer was lost
+        }
+        if (ledger.get(record.id()) == null) {
+            ledger.unlock(record.id(), record.facts());
+        }
+        counters.add(Count.PUSHES_REPEATED); // guards against a second run by a producer that lost the answer
+        return null;
     }
 
-    private void resume(List<JobRecord> records) {
-        for (JobRecord record : records) {
-            try {
-                resume(record, Job.stored(record.job(), site, record.deadlineMs()));
-            } catch (Command.Malformed e) {
-                LOG.warn("job {} from the store cannot be taken up: {}", record.id(), e.getMessage());
-                store.keep(record.to(JobRecord.State.FAILED, "", e.getMessage(), loop.now() / 1000));
-            }
+    private String take(JobRecord record, int jobClass) {
+        if (ledger.get(record.id()) != null) {
+            counters.add(Count.PUSHES_REPEATED);
+            return null;
+        }
+        if (!record.facts().bid().isEmpty()) {
+            batches.pushed(record.facts().bid());
         }
-        LOG.info("{} jobs taken up from the store", records.size());
+        return desk.enter(record, jobClass); // any end that is not told here is for those who track the job
     }
 
     /**
-     * Guards against a second run: a job that was reserved may have run, so unless its class may be repeated it
-     * only waits for its worker's word, until its time is up.
+     * Takes a job out of the store that may have come there although its producer heard otherwise. Guards against a
+     * job that runs although nobody was promised it.
      */
-    private void resume(JobRecord record, Job job) {
-        boolean mayRepeat = site.settings().classes().get(job.jobClass()).effect() == Effect.SAFE;
-        if (driver.holds(job.jid())) {
+    private void withdraw(JobRecord record) {
+        if (uncertain.get(record.id()) != record) {
             return;
         }
-        if (record.state() == JobRecord.State.QUEUED || mayRepeat) {
-            take(job, record);
-            return;
+        store.ask(new Op.Get(record.id()), found -> {
+            if (uncertain.get(record.id()) != record || adding.containsKey(record.id())) {
+                return; // pushed again meanwhile: that push decides
+            }
+            uncertain.remove(record.id());
+            if (record.equals(found) && ledger.get(record.id()) == null) {
+                store.insist(new Op.Drop(java.util.List.of(record.id())));
+            }
+        }, () -> loop.in(LOOK_AGAIN_US, () -> withdraw(record)));
+    }
+
+    // ---- callbacks of batches
+
+    /** Pushes a batch's callback, until the store has it; {@code before} hears of one that was pushed already. */
+    void pushCallback(String job, String jid, String bid, Consumer<JobRecord> before) {
+        JobRecord record;
+        Pushed pushed;
+        int jobClass;
+        try {
+            ObjectNode node = (ObjectNode) Json.read(job);
+            node.put("jid", jid);
+            pushed = Pushed.read(node, desk.nowMs(), leastReserveS);
+            jobClass = Math.max(0, routes.classOf(pushed.custom().className(), pushed.queue(), pushed.jobtype()));
+            record = JobRecord.pushed(jid, facts(pushed, jobClass, desk.nowMs(), bid), pushed.atMs(), desk.nowMs())
+                .numbered(ledger.nextSeq());
+        } catch (Malformed e) {
+            throw new IllegalStateException("a callback that was checked when its batch was made", e);
+        }
+        store.ask(new Op.Add(record, pushed.body()), there -> {
+            if (there != null) {
+                before.accept(there);
+            } else if (ledger.get(jid) == null) {
+                desk.enter(record, jobClass);
+            }
+        }, () -> loop.in(LOOK_AGAIN_US, () -> pushCallback(job, jid, bid, before)));
+    }
+
+    /** Why a job cannot be a callback; null if it can. */
+    String unfit(JsonNode job) {
+        if (job == null) {
+            return null;
+        }
+        try {
+            ObjectNode node = ((ObjectNode) job).deepCopy();
+            node.put("jid", "b-callback-of-a-batch");
+            Pushed pushed = Pushed.read(node, desk.nowMs(), leastReserveS);
+            return routes.classOf(pushed.custom().className(), pushed.queue(), pushed.jobtype()) < 0
+                ? "custom.class: no class for the callback" : null;
+        } catch (Malformed e) {
+            return e.getMessage();
         }
-        counters.add(Count.QUERIES_TAKEN);
-        orphans.put(record.id(), record);
-        loop.at(job.deadlineMs() * 1000, () -> settle(record.worker(), record.id(), JobRecord.State.FAILED,
-            "it may have run before a restart"));
     }
 
-    /** A worker's word, or the lack of it, on a job from before the restart. */
-    boolean settle(String worker, String jid, JobRecord.State state, String words) {
-        JobRecord orphan = orphans.get(jid);
-        if (orphan == null || !orphan.worker().equals(worker)) {
-            return false;
+    // ---- TRACK
+
+    void track(FaktoryLink link, String jid) {
+        Entry open = ledger.get(jid);
+        if (open != null) {
+            link.reply(Reply.bulk(tracked(jid, open.record())));
+            return;
         }
-        orphans.remove(jid);
-        counters.add(state == JobRecord.State.SUCCESS ? Count.ANSWERS_SERVED : Count.ANSWERS_FAILED);
-        store.keep(orphan.to(state, worker, words, loop.now() / 1000));
-        return true;
+        store.ask(new Op.Get(jid), record -> link.reply(Reply.bulk(tracked(jid, record))),
+            () -> link.reply(Reply.error("ERR the store is down")));
+    }
+
+    void progress(Command.TrackSet set) {
+        progress.put(set.jid(), new Progress(set.percent(), set.words(), desk.nowMs()));
+    }
+
+    private String tracked(String jid, JobRecord record) {
+        ObjectNode told = Json.MAPPER.createObjectNode().put("jid", jid);
+        Progress said = progress.get(jid);
+        told.put("state", record == null ? "unknown" : switch (record.state()) {
+            case QUEUED, SCHEDULED -> "enqueued";
+            case RESERVED -> "working";
+            case SUCCESS -> "success";
+            case REFUSED, FAILED, RETRY -> "failed";
+            case DEAD -> "dead";
+            case DISCARDED -> "discarded";
+        });
+        told.put("percent", said == null ? 0 : said.percent());
+        boolean ended = record != null && !record.detail().isEmpty();
+        told.put("desc", ended ? record.detail() : said == null ? "" : said.words());
+        told.put("updated_at", record == null ? "" : Json.time(said == null ? record.updatedMs()
+            : Math.max(said.atMs(), record.updatedMs())));
+        return told.toString();
     }
 }
--- /dev/null
+++ b/src/main/java/damsonslip/faktory/Workshop.java
@@ -0,0 +1,213 @@
+package damsonslip.faktory;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import damsonslip.faktory.codec.Command;
+import damsonslip.faktory.codec.Json;
+import damsonslip.faktory.codec.Reply;
+import damsonslip.faktory.sets.Batches;
+import damsonslip.faktory.sets.Batches.Batch;
+import damsonslip.faktory.sets.Batches.Callback;
+import damsonslip.faktory.sets.Batches.Due;
+import damsonslip.store.AsyncStore;
+import damsonslip.store.JobRecord;
+import damsonslip.store.Op;
+import java.util.Map;
+import java.util.UUID;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The batches: takes the commands on them, keeps them in the store, and has their callbacks pushed. */
+final class Workshop {
+    private static final Logger LOG = LoggerFactory.getLogger(Workshop.class);
+    /** The kind of note that a batch is kept as. */
+    static final String NOTE = "batch";
+    /** Batches that may be open at once. */
+    private static final int MOST = 100_000;
+
+    private final AsyncStore store;
+    private final Desk desk;
+    private final Batches batches;
+    private Producers producers;
+    private boolean ready;
+
+    Workshop(AsyncStore store, Desk desk) {
+        this.store = store;
+        this.desk = desk;
+        this.batches = new Batches(desk.ledger());
+        desk.watch(this::settle, this::succeeded);
+    }
+
+    void begin(Producers pusher) {
+        producers = pusher;
+    }
+
+    String closed(String bid) {
+        return batches.closed(bid);
+    }
+
+    void pushed(String bid) {
+        keep(batches.pushed(bid));
+    }
+
+    // ---- commands
+
+    void create(FaktoryLink link, Command.BatchNew fresh) {
+        String why = producers.unfit(fresh.success()) != null ? producers.unfit(fresh.success())
+            : producers.unfit(fresh.complete()) != null ? producers.unfit(fresh.complete())
+            : fresh.success() == null && fresh.complete() == null ? "a batch needs a callback, success or complete"
+            : !fresh.parent().isEmpty() && batches.get(fresh.parent()) == null ? "no such batch: " + fresh.parent()
+            : !fresh.parent().isEmpty() && batches.get(fresh.parent()).onComplete() != Callback.NOT_YET
+            ? "batch " + fresh.parent() + " is complete" : batches.size() >= MOST ? "too many batches are open" : null;
+        if (!ready || why != null) {
+            link.reply(Reply.error("ERR " + (why == null ? "what is in the store is being taken up" : why)));
+            return;
+        }
+        Batch batch = new Batch("b-" + UUID.randomUUID().toString().replace("-", "").substring(0, 16), fresh.parent(),
+            fresh.description(), text(fresh.success()), text(fresh.complete()), false, 0, Callback.NOT_YET,
+            Callback.NOT_YET, desk.nowMs());
+        store.ask(note(batch), done -> {
+            batches.add(batch);
+            link.reply(Reply.bulk(batch.bid()));
+        }, () -> link.reply(Reply.error("ERR the store is down and there is no new batch")));
+    }
+
+    private static String text(JsonNode job) {
+        return job == null ? "" : job.toString();
+    }
+
+    void open(FaktoryLink link, String bid) {
+        Batch batch = batches.open(bid);
+        if (batch == null) {
+            link.reply(Reply.error("ERR " + (batches.get(bid) == null ? "no such batch: " + bid
+                : "batch " + bid + " is complete")));
+            return;
+        }
+        store.ask(note(batch), done -> link.reply(Reply.bulk(bid)),
+            () -> link.reply(Reply.error("ERR the store is down")));
+    }
+
+    void commit(FaktoryLink link, String bid) {
+        Batch batch = batches.get(bid);
+        if (batch == null) {
+            link.reply(Reply.error("ERR no such batch: " + bid));
+            return;
+        }
+        store.ask(note(batches.commit(bid)), done -> {
+            link.reply(Reply.ok());
+            settle(bid);
+        }, () -> {
+            batches.open(bid);
+            link.reply(Reply.error("ERR the store is down and batch " + bid + " is not committed"));
+        });
+    }
+
+    void status(FaktoryLink link, String bid) {
+        Batch batch = batches.get(bid);
+        if (batch == null) {
+            link.reply(Reply.error("ERR no such batch: " + bid));
+            return;
+        }
+        ObjectNode told = Json.MAPPER.createObjectNode().put("bid", bid).put("total", batch.total())
+            .put("pending", batches.pending(bid)).put("failed", batches.failed(bid))
+            .put("created_at", Json.time(batch.createdMs())).put("description", batch.description());
+        if (!batch.parent().isEmpty()) {
+            told.put("parent_bid", batch.parent());
+        }
+        told.put("complete_st", state(batch.onComplete())).put("success_st", state(batch.onSuccess()));
+        link.reply(Reply.bulk(told.toString()));
+    }
+
+    private static String state(Callback callback) {
+        return switch (callback) {
+            case NOT_YET -> "";
+            case DUE -> "1";
+            case DONE -> "2";
+        };
+    }
+
+    // ---- what jobs bring about
+
+    private void settle(String bid) {
+        for (Due due : batches.settle(bid)) {
+            keep(due.batch());
+            push(due);
+        }
+    }
+
+    private void push(Due due) {
+        if (due.job().isEmpty()) {
+            return;
+        }
+        String bid = due.batch().bid();
+        producers.pushCallback(due.job(), due.batch().callbackId(due.success()), bid, before -> {
+            if (before.state() == JobRecord.State.SUCCESS) { // it ran before a restart
+                ran(bid, due.success());
+            }
+        });
+    }
+
+    private void succeeded(JobRecord record) {
+        String bid = record.facts().callbackOf();
+        if (!bid.isEmpty()) {
+            ran(bid, record.id().endsWith("-success"));
+        }
+    }
+
+    private void ran(String bid, boolean success) {
+        Batch batch = batches.ran(bid, success);
+        if (batch != null) {
+            keep(batch);
+            settle(bid);
+        }
+    }
+
+    // ---- the store
+
+    private static Op.Note note(Batch batch) {
+        try {
+            return new Op.Note(NOTE, batch.bid(), Json.MAPPER.writeValueAsString(batch));
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a batch of plain values", e);
+        }
+    }
+
+    private void keep(Batch batch) {
+        Op.Note now = note(batch);
+        store.ask(now, done -> { }, () -> {
+            Batch newest = batches.get(batch.bid());
+            if (newest != null) {
+                store.insist(note(newest));
+            }
+        });
+    }
+
+    /** Takes up the batches that the store has; before any job is taken in. */
+    void load(Map<String, String> notes) {
+        notes.forEach((bid, text) -> {
+            try {
+                batches.add(Json.MAPPER.readValue(text, Batch.class));
+            } catch (JsonProcessingException e) {
+                LOG.warn("batch {} from the store cannot be read", bid);
+            }
+        });
+    }
+
+    /** All jobs are here: what became due before the stop, or by it, goes on. */
+    void ready() {
+        ready = true;
+        batches.unfinished().forEach(this::push);
+        batches.all().forEach(batch -> settle(batch.bid()));
+        batches.forget(desk.nowMs()).forEach(this::drop);
+    }
+
+    void clear() {
+        batches.all().forEach(batch -> drop(batch.bid()));
+        batches.clear();
+    }
+
+    private void drop(String bid) {
+        store.insist(new Op.Note(NOTE, bid, null));
+    }
+}
--- a/src/main/java/damsonslip/faktory/Reply.java
+++ b/src/main/java/damsonslip/faktory/codec/Reply.java
@@ -1,28 +1,33 @@
-package damsonslip.faktory;
+package damsonslip.faktory.codec;
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
 /** What the server side of the protocol says, in RESP framing. */
-final class Reply {
-    static final ByteBuffer NOTHING = bytes("$-1\r\n").asReadOnlyBuffer();
+public final class Reply {
+    private static final ByteBuffer NOTHING = bytes("$-1\r\n").asReadOnlyBuffer();
+    private static final ByteBuffer OK = bytes("+OK\r\n").asReadOnlyBuffer();
 
     private Reply() { }
 
-    static ByteBuffer ok() {
-        return bytes("+OK\r\n");
+    public static ByteBuffer nothing() {
+        return NOTHING.duplicate();
     }
 
-    static ByteBuffer simple(String text) {
+    public static ByteBuffer ok() {
+        return OK.duplicate();
+    }
+
+    public static ByteBuffer simple(String text) {
         return bytes("+" + text + "\r\n");
     }
 
     /** An error; what it says fits on one line whatever it was made from. */
-    static ByteBuffer error(String text) {
+    public static ByteBuffer error(String text) {
         return bytes("-" + text.replaceAll("[\\r\\n]+", " ") + "\r\n");
     }
 
-    static ByteBuffer bulk(String text) {
+    public static ByteBuffer bulk(String text) {
         byte[] content = text.getBytes(StandardCharsets.UTF_8);
         byte[] head = ("$" + content.length + "\r\n").getBytes(StandardCharsets.US_ASCII);
         ByteBuffer whole = ByteBuffer.allocate(head.length + content.length + 2);
--- a/src/main/java/damsonslip/net/Lines.java
+++ b/src/main/java/damsonslip/net/Lines.java
@@ -30,6 +30,11 @@
         return begun.size() > most ? null : lines;
     }
 
+    /** Bytes of a line whose end has not come yet. */
+    public int begun() {
+        return begun.size();
+    }
+
     /** What came after the last line end. */
     public String rest() {
         String rest = begun.toString(StandardCharsets.UTF_8).trim();
--- a/src/main/java/damsonslip/platform/clients/QueryHead.java
+++ b/src/main/java/damsonslip/platform/clients/QueryHead.java
@@ -77,6 +77,6 @@
         }
         HttpForward forward = new HttpForward(method, target, field(Field.KEY), field("Content-Type"), body);
         long deadline = nowUs + Math.min(timeLeft, mostLeftUs);
-        return new Query(id, jobClass, deadline, slots, memory, null, Integer.MAX_VALUE, forward);
+        return new Query(id, jobClass, deadline, slots, memory, null, Integer.MAX_VALUE, null, forward);
     }
 }
--- a/src/main/java/damsonslip/store/AsyncStore.java
+++ b/src/main/java/damsonslip/store/AsyncStore.java
@@ -1,76 +1,163 @@
 package damsonslip.store;
 
 import damsonslip.core.Loop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * Calls the store on a thread of its own, in the order asked, and tells the loop how that went. The queue is
- * bounded: a store that hangs fails calls, and does not fill the memory.
+ * Calls the store on a thread of its own, in the order asked, and tells the loop how that went. Whatever has come
+ * together while the store was busy goes there in one journey. What waits is bounded: a store that hangs fails
+ * calls, and does not fill the memory.
  */
 public final class AsyncStore {
     private static final Logger LOG = LoggerFactory.getLogger(AsyncStore.class);
-    private static final int MOST_WAITING = 4_000;
+    /** About what a store does in a second; a call that has to wait for longer is better told at once. */
+    private static final int MOST_WAITING = 40_000;
+    /** So many go together at the most: a journey stays well within the store's time limit. */
+    private static final int MOST_TOGETHER = 512;
     /** While the store is down, calls fail at once and only one in this time tries it. */
     private static final long DOWN_NS = TimeUnit.MILLISECONDS.toNanos(250);
-    private static final long FINAL_RETRY_US = 500_000;
+    private static final long KEEP_RETRY_US = 500_000;
+    private static final long LAST_WAIT_S = 2;
+
+    private record Call<T>(Op<T> op, Consumer<T> then, Runnable failed) { }
 
     private final Loop loop;
     private final JobStore store;
-    private final ThreadPoolExecutor thread = new ThreadPoolExecutor(1, 1, 0, TimeUnit.SECONDS,
-        new LinkedBlockingQueue<>(MOST_WAITING), task -> {
-            Thread t = new Thread(task, "store");
-            t.setDaemon(true);
-            return t;
-        });
+    private final LinkedBlockingQueue<Call<?>> calls = new LinkedBlockingQueue<>();
+    private final AtomicInteger waiting = new AtomicInteger();
+    private final Thread thread = new Thread(this::work, "store");
+    /** The newest record of each job that is on its way: an older one that failed must not be written after it. */
+    private final Map<String, JobRecord> newest = new HashMap<>();
+    private volatile boolean closing;
+    private volatile boolean down;
     private long downUntilNs;
-    private boolean down;
-
-    /** A call to the store. */
-    public interface Call<T> {
-        T on(JobStore store) throws StoreException;
-    }
 
     public AsyncStore(Loop loop, JobStore store) {
         this.loop = loop;
         this.store = store;
+        thread.setDaemon(true);
+        thread.start();
     }
 
-    /** Asks the store; one of the two is called later, on the loop. */
-    public <T> void ask(Call<T> call, Consumer<T> then, Runnable failed) {
-        try {
-            thread.execute(() -> {
-                try {
-                    T result = guarded(call);
-                    loop.execute(() -> then.accept(result));
-                } catch (StoreException e) {
-                    loop.execute(failed);
-                }
-            });
-        } catch (RejectedExecutionException e) {
+    /** Whether the store answered when it was last asked. */
+    public boolean up() {
+        return !down;
+    }
+
+    /** Calls that wait for the store. */
+    public int waiting() {
+        return waiting.get();
+    }
+
+    /** Asks the store; one of the two is called later, on the loop. Called on the loop. */
+    public <T> void ask(Op<T> op, Consumer<T> then, Runnable failed) {
+        if (closing || waiting.get() >= MOST_WAITING) {
             loop.execute(failed);
+            return;
         }
+        enqueue(new Call<>(op, then, failed));
     }
 
-    /** Writes a final state, again and again until the store has it. */
+    private void enqueue(Call<?> call) {
+        JobRecord record = call.op().record();
+        if (record != null) {
+            newest.put(record.id(), record);
+        }
+        waiting.incrementAndGet();
+        calls.add(call);
+    }
+
+    /** Writes a record, again and again until the store has it or a newer one is written. Called on the loop. */
     public void keep(JobRecord record) {
-        ask(s -> {
-            s.put(record);
-            return null;
-        }, done -> { }, () -> loop.in(FINAL_RETRY_US, () -> keep(record)));
+        keep(record, () -> { }, () -> { });
+    }
+
+    /** The same; tells how the first try went. */
+    public void keep(JobRecord record, Runnable then, Runnable failed) {
+        enqueue(new Call<>(new Op.Put(record), done -> then.run(), () -> {
+            failed.run();
+            if (newest.get(record.id()) == record) {
+                loop.in(KEEP_RETRY_US, () -> {
+                    if (newest.get(record.id()) == record) {
+                        keep(record);
+                    }
+                });
+            }
+        }));
+    }
+
+    /** Does it again and again until the store has done it. */
+    public void insist(Op<?> op) {
+        enqueue(new Call<>(op, done -> { }, () -> loop.in(KEEP_RETRY_US, () -> insist(op))));
+    }
+
+    private void work() {
+        List<Call<?>> together = new ArrayList<>();
+        while (!closing || !calls.isEmpty()) {
+            together.clear();
+            try {
+                Call<?> first = calls.poll(100, TimeUnit.MILLISECONDS);
+                if (first == null) {
+                    continue;
+                }
+                together.add(first);
+            } catch (InterruptedException e) {
+                return;
+            }
+            calls.drainTo(together, MOST_TOGETHER - 1);
+            waiting.addAndGet(-together.size());
+            run(List.copyOf(together));
+        }
+    }
+
+    private void run(List<Call<?>> together) {
+        List<Object> results;
+        try {
+            results = guarded(together.stream().map(Call::op).toList());
+        } catch (StoreException e) {
+            loop.execute(() -> together.forEach(call -> tell(call, e)));
+            return;
+        }
+        loop.execute(() -> {
+            for (int i = 0; i < together.size(); i++) {
+                tell(together.get(i), results.get(i));
+            }
+        });
+    }
+
+    @SuppressWarnings("unchecked") // an Op<T> gives a T
+    private <T> void tell(Call<T> call, Object result) {
+        JobRecord record = call.op().record();
+        try {
+            if (result instanceof StoreException e) {
+                LOG.debug("{}", e.getMessage());
+                call.failed().run();
+            } else {
+                if (record != null && newest.get(record.id()) == record) {
+                    newest.remove(record.id());
+                }
+                call.then().accept((T) result);
+            }
+        } catch (RuntimeException e) { // guards the others that came together with it
+            LOG.error("a task failed and was dropped", e);
+        }
     }
 
-    private <T> T guarded(Call<T> call) throws StoreException {
+    private List<Object> guarded(List<? extends Op<?>> ops) throws StoreException {
         if (down && System.nanoTime() < downUntilNs) {
             throw new StoreException("the store is down", null);
         }
         try {
-            T result = call.on(store);
+            List<Object> result = store.run(ops);
             if (down) {
                 LOG.info("the store answers again");
             }
@@ -88,9 +175,9 @@
 
     /** Lets what is asked be done, for a while, and closes the store. */
     public void close() {
-        thread.shutdown();
+        closing = true;
         try {
-            thread.awaitTermination(2, TimeUnit.SECONDS);
+            thread.join(TimeUnit.SECONDS.toMillis(LAST_WAIT_S));
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/damsonslip/store/MemoryStore.java
+++ b/src/main/java/damsonslip/store/MemoryStore.java
@@ -2,46 +2,95 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 
 /** A store for trying the program out: it ends with the process. */
 public final class MemoryStore implements JobStore {
-    /** Ended jobs are remembered up to this many in all. */
-    private static final int MOST = 20_000;
+    /** Jobs that are over are remembered up to this many, so that a repeated push finds them. */
+    private static final int MOST_OVER = 20_000;
 
-    private final Map<String, JobRecord> jobs = new LinkedHashMap<>();
+    private record Held(JobRecord record, String body) { }
+
+    private final Map<String, Held> jobs = new LinkedHashMap<>();
+    private final Set<String> over = new LinkedHashSet<>();
+    private final Map<String, Map<String, String>> notes = new LinkedHashMap<>();
     private final Map<String, Long> workers = new LinkedHashMap<>();
 
     @Override
-    public synchronized JobRecord add(JobRecord record) {
-        JobRecord before = jobs.putIfAbsent(record.id(), record);
-        if (jobs.size() > MOST) {
-            jobs.values().stream().filter(old -> old.state().isFinal()).findFirst()
-                .ifPresent(old -> jobs.remove(old.id()));
-        }
-        return before;
+    public synchronized List<Object> run(List<? extends Op<?>> ops) {
+        List<Object> results = new ArrayList<>(ops.size());
+        ops.forEach(op -> results.add(run(op)));
+        return results;
     }
 
-    @Override
-    public synchronized void put(JobRecord record) {
-        jobs.put(record.id(), record);
+    private Object run(Op<?> op) {
+        if (op instanceof Op.Add add) {
+            Held before = jobs.putIfAbsent(add.record().id(), new Held(add.record(), add.body()));
+            return before == null ? null : before.record();
+        } else if (op instanceof Op.Put put) {
+            return put(put.record(), body(put.record().id()));
+        } else if (op instanceof Op.Replace replace) {
+            return put(replace.record(), replace.body());
+        } else if (op instanceof Op.Take take) {
+            String body = body(take.record().id());
+            put(take.record(), body);
+            return body;
+        } else if (op instanceof Op.Get get) {
+            Held held = jobs.get(get.id());
+            return held == null ? null : held.record();
+        } else if (op instanceof Op.Bodies bodies) {
+            List<String> found = new ArrayList<>();
+            bodies.ids().forEach(id -> found.add(body(id)));
+            return found;
+        } else if (op instanceof Op.Drop drop) {
+            drop.ids().forEach(id -> {
+                jobs.remove(id);
+                over.remove(id);
+            });
+            return null;
+        } else if (op instanceof Op.Open) {
+            return jobs.values().stream().map(Held::record).filter(record -> !record.state().isFinal())
+                .map(JobRecord::id).toList();
+        } else if (op instanceof Op.Load load) {
+            return load.ids().stream().map(jobs::get).filter(Objects::nonNull).map(Held::record)
+                .filter(record -> !record.state().isFinal()).toList();
+        }
+        return aside(op);
     }
 
-    @Override
-    public synchronized JobRecord get(String id) {
-        return jobs.get(id);
+    private Object aside(Op<?> op) {
+        if (op instanceof Op.Note note) {
+            Map<String, String> kind = notes.computeIfAbsent(note.kind(), k -> new LinkedHashMap<>());
+            return note.words() == null ? kind.remove(note.key()) : kind.put(note.key(), note.words());
+        } else if (op instanceof Op.Notes all) {
+            return new LinkedHashMap<>(notes.getOrDefault(all.kind(), Map.of()));
+        } else if (op instanceof Op.FirstSeen seen) {
+            Long before = workers.putIfAbsent(seen.worker(), seen.nowMs());
+            return before == null ? seen.nowMs() : before;
+        }
+        throw new IllegalArgumentException("unknown: " + op);
     }
 
-    @Override
-    public synchronized List<JobRecord> unresolved() {
-        return new ArrayList<>(jobs.values().stream().filter(job -> !job.state().isFinal()).toList());
+    private String body(String id) {
+        Held held = jobs.get(id);
+        return held == null ? null : held.body();
     }
 
-    @Override
-    public synchronized long firstSeen(String worker, long nowMs) {
-        Long before = workers.putIfAbsent(worker, nowMs);
-        return before == null ? nowMs : before;
+    private Void put(JobRecord record, String body) {
+        boolean ended = record.state().isFinal();
+        jobs.put(record.id(), new Held(record, ended ? null : body)); // a job that is over needs no body
+        if (ended && over.add(record.id()) && over.size() > MOST_OVER) {
+            String oldest = over.iterator().next();
+            over.remove(oldest);
+            jobs.remove(oldest);
+        } else if (!ended) {
+            over.remove(record.id());
+        }
+        return null;
     }
 
     @Override
