--- a/src/main/java/damsonslip/Dispatch.java
+++ b/src/main/java/damsonslip/Dispatch.java
@@ -168,8 +168,15 @@
         }
     }
 
-    /** A load report; a figure that it does not hold is NaN. */
-    record Report(double freeSlots, double freeMemory, double held) { }
+    /**
+     * A load report; a figure that it does not hold is NaN. {@code slots} are all that the worker
+     * has, as a worker tells that offers them by itself.
+     */
+    record Report(double freeSlots, double freeMemory, double held, double slots) {
+        public Report(double freeSlots, double freeMemory, double held) {
+            this(freeSlots, freeMemory, held, Double.NaN);
+        }
+    }
 
     /** What happens to a dispatcher. */
     sealed interface Event { }
--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -37,6 +37,8 @@
         boolean running;
         long started;
         Pool pool;
+        private double slots = Double.NaN;
+        private int errors;
         double reportedFree = Double.NaN;
         double reportedMemory = Double.NaN;
         long reportedAt;
@@ -59,10 +61,36 @@
             this.id = id;
         }
 
+        /**
+         * Takes in what a report says of all its slots; gives that, or else its free ones. A worker that offers its
+         * slots by itself is alive, however long it is at a job.
+         */
+        double told(Dispatch.Report report, long now) {
+            if (report.slots() > 0) {
+                slots = report.slots();
+                answeredAt = now;
+            }
+            return slots > 0 ? slots : Math.max(0, report.freeSlots());
+        }
+
+        /**
+         * Whether this end says something about the worker. One that offers its slots by itself says of a single job
+         * that it failed, and asks for the next; only several in a row, with nothing done between, are its own.
+         */
+        boolean suspect(Dispatch.Outcome outcome) {
+            return !(slots > 0) || outcome != Dispatch.Outcome.ERROR || ++errors > FEW;
+        }
+
+        /** Its slots: what it says itself, or else what its kind is taken to have. */
+        double slots(int[] ofKinds) {
+            return slots > 0 ? slots : ofKinds[kind];
+        }
+
         /** A job there took this many times as long as where its class runs quickly. */
         void paced(double times, long now) {
             pace = pace(now) + PACE_WEIGHT * (Math.min(times, MOST_TIMES) - pace(now));
             pacedAt = now;
+            errors = 0;
         }
 
         /** How many times the usual its jobs take lately; without news it is as usual again after a while. */
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -308,10 +308,10 @@
             return;
         }
         double free = Math.max(0, report.freeSlots());
-        kindSlots[w.kind] = freeSeen[w.kind].learn(free);
+        kindSlots[w.kind] = freeSeen[w.kind].learn(w.told(report, now));
         w.own(0, now);
         w.fresh = fresh;
-        double others = Math.max(0, kindSlots[w.kind] - free - (fresh ? w.own : w.ownMean));
+        double others = Math.max(0, w.slots(kindSlots) - free - (fresh ? w.own : w.ownMean));
         double age = fresh || Double.isNaN(w.reportedFree) ? Double.MAX_VALUE : now - w.reportedAt;
         double weight = 1 - Math.exp(-age / OTHERS_US);
         w.others += weight * (others - w.others);
@@ -326,7 +326,7 @@
         }
         if (w.pool != null) {
             Free mean = w.pool.free[w.kind][w.zone];
-            double change = Math.min(1, free / kindSlots[w.kind]) - mean.share;
+            double change = Math.min(1, free / w.slots(kindSlots)) - mean.share;
             change *= Math.max(FREE_WEIGHT, 1.0 / (++mean.reports + 5));
             mean.share += change;
             w.pool.freeShare += change * mean.members / Math.max(1, w.pool.members.size());
@@ -344,7 +344,7 @@
      * ended and lack those sent since: taken at their word they keep jobs waiting beside free slots.
      */
     private double free(Worker w) {
-        double slots = kindSlots[w.kind];
+        double slots = w.slots(kindSlots);
         double share = w.pool == null ? 0.5 : w.pool.free[w.kind][w.zone].share;
         double others = slots * (1 - share) * (settings.dispatchers() - 1) / settings.dispatchers();
         if (!Double.isNaN(w.reportedFree)) {
@@ -423,7 +423,7 @@
         double[][] loads = new double[kindSlots.length][pools.length];
         double[] left = new double[kindSlots.length];
         // in overload bound load must not take its kind whole
-        all = Math.min(all, probeRound.stream().mapToDouble(w -> kindSlots[w.kind]).sum());
+        all = Math.min(all, probeRound.stream().mapToDouble(w -> w.slots(kindSlots)).sum());
         double room = 0;
         for (int k = 0; k < left.length; k++) {
             left[k] = byKind.get(k).size() * kindSlots[k];
@@ -471,7 +471,7 @@
                 rest.remove(w);
                 members.get(i).add(w);
                 w.pool = pools[i];
-                pools[i].slots += kindSlots[w.kind];
+                pools[i].slots += w.slots(kindSlots);
             }
         }
     }
@@ -706,7 +706,7 @@
         }
         long turn = Math.floorDiv(now - w.started, rules.fallUs());
         double part = warmth(turn * rules.fallUs());
-        double all = COLD_PART * rules.fallMultiple() * part * kindSlots[w.kind] * rules.fallUs();
+        double all = COLD_PART * rules.fallMultiple() * part * w.slots(kindSlots) * rules.fallUs();
         double mine = all / settings.dispatchers();
         long turns = Math.max(1, (long) Math.ceil(cost / mine));
         if (Math.floorMod(turn, turns) != Math.floorMod((long) settings.number(), turns)) {
@@ -762,7 +762,7 @@
         boolean again = mayRepeat(job, job.risk == null ? a : job.risk);
         if (again && workers.values().stream().anyMatch(w -> w != a.worker && mayTake(w, job)
             && free(w) >= job.ask.slots() && (!grouped(pool) || sameGroup(pool, w, a.worker)))) {
-            strike(a.worker);
+            strike(a.worker, true);
             moved++;
             actions.add(new Cancel(job.ask.job(), job.attempts.size() - 1));
         } else {
@@ -819,24 +819,24 @@
                 w.paced(pools[a.job.ask.jobClass()].timed(w, took), now);
             }
             case FULL -> {
-                w.others = kindSlots[w.kind] - w.own;
+                w.others = w.slots(kindSlots) - w.own;
                 w.reportedFree = 0;
                 w.reportedAt = now;
                 w.pausedUntil = Math.max(w.pausedUntil, now + FULL_US / 2 + random.nextLong(FULL_US));
             }
             // an error counts too: a worker that fails at once looks free, and would draw all there is
-            case ERROR, NOT_CONNECTED, TIMED_OUT -> strike(w);
+            case ERROR, NOT_CONNECTED, TIMED_OUT -> strike(w, w.suspect(outcome));
             case RESET -> { // a lost link alone says little about a worker that has just answered on others
                 if (now - w.answeredAt > ALIVE_US || w.strikes > 0) {
-                    strike(w);
+                    strike(w, true);
                 }
             }
             default -> { }
         }
     }
 
-    private void strike(Worker w) {
-        if (now >= w.pausedUntil) { // what fails together with the first is one failure
+    private void strike(Worker w, boolean suspect) {
+        if (suspect && now >= w.pausedUntil) { // what fails together with the first is one failure
             long pause = PAUSE_US << Math.min(w.strikes++, MOST_DOUBLINGS);
             w.pausedUntil = now + pause / 2 + random.nextLong(pause);
         }
--- /dev/null
+++ b/src/main/java/damsonslip/conformance/Conformance.java
@@ -0,0 +1,141 @@
+package damsonslip.conformance;
+
+import damsonslip.settings.BadInput;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ExecutionException;
+
+/** The command {@code conformance}: plays the cases and prints a line for each, and a table. */
+public final class Conformance {
+    private static final String USAGE =
+        "conformance HOST:PORT [--password P] [--flush] [--only GROUP]  (--flush also plays what empties the server)";
+
+    private record Result(Cases.Case played, String fault, long ms) { }
+
+    private Conformance() { }
+
+    /** Plays against the server that the arguments name; gives the exit code: 0, or 1 if a case found a fault. */
+    public static int run(List<String> arguments, PrintStream out) throws BadInput {
+        String address = "";
+        String password = "";
+        String only = "";
+        boolean flush = false;
+        for (int i = 0; i < arguments.size(); i++) {
+            String argument = arguments.get(i);
+            boolean last = i + 1 == arguments.size();
+            if (argument.equals("--flush")) {
+                flush = true;
+            } else if (argument.equals("--password") && !last) {
+                password = arguments.get(++i);
+            } else if (argument.equals("--only") && !last) {
+                only = arguments.get(++i);
+            } else if (!argument.startsWith("--") && address.isEmpty()) {
+                address = argument;
+            } else {
+                throw new BadInput(USAGE);
+            }
+        }
+        return new Play(server(address), password, flush, only, out).all();
+    }
+
+    private static InetSocketAddress server(String address) throws BadInput {
+        int colon = address.lastIndexOf(':');
+        try {
+            if (colon <= 0) {
+                throw new BadInput(USAGE);
+            }
+            return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        } catch (IllegalArgumentException e) {
+            throw new BadInput(USAGE);
+        }
+    }
+
+    /** One run through the cases. */
+    private record Play(InetSocketAddress server, String password, boolean flush, String only, PrintStream out) {
+        /** Cases that are played side by side; those that count on whole sets are played alone. */
+        private static final List<String> APART = List.of("handshake", "fetch", "track", "unique", "batch", "queue");
+        private static final int SIDE_BY_SIDE = 4;
+
+        int all() throws BadInput {
+            List<Result> results = new ArrayList<>();
+            String wid = "conf-" + Stage.id();
+            List<Cases.Case> chosen = Cases.all().stream().filter(each -> flush || !each.destroy())
+                .filter(each -> only.isEmpty() || each.group().equals(only)).toList();
+            try (Stage keeper = new Stage(server, password, wid)) {
+                keeper.worker(); // its worker stays while its connections come and go
+                together(chosen.stream().filter(each -> APART.contains(each.group())).toList(), wid, results);
+                for (Cases.Case each : chosen) {
+                    if (!APART.contains(each.group())) {
+                        results.add(told(play(each, wid)));
+                    }
+                }
+            } catch (IOException | Stage.Fault e) {
+                throw new BadInput("conformance: no server of the protocol on " + server.getHostString() + ":"
+                    + server.getPort() + ": " + e.getMessage());
+            }
+            return table(results);
+        }
+
+        private void together(List<Cases.Case> cases, String wid, List<Result> results) {
+            ExecutorService threads = Executors.newFixedThreadPool(SIDE_BY_SIDE);
+            try {
+                List<Future<Result>> played = new ArrayList<>();
+                cases.forEach(each -> played.add(threads.submit(() -> play(each, wid))));
+                for (Future<Result> each : played) {
+                    results.add(told(each.get()));
+                }
+            } catch (InterruptedException | ExecutionException e) {
+                throw new IllegalStateException("a case that could not be played", e);
+            } finally {
+                threads.shutdownNow();
+            }
+        }
+
+        private Result play(Cases.Case each, String wid) {
+            long from = System.nanoTime();
+            String fault = null;
+            try (Stage stage = new Stage(server, password, wid)) {
+                each.play().on(stage);
+            } catch (Stage.Fault e) {
+                fault = e.getMessage();
+            } catch (IOException | RuntimeException e) {
+                fault = e.getClass().getSimpleName() + ": " + e.getMessage();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                fault = "interrupted";
+            }
+            return new Result(each, fault, (System.nanoTime() - from) / 1_000_000);
+        }
+
+        private Result told(Result result) {
+            out.println((result.fault() == null ? "ok     " : "FAULT  ") + result.played().group() + ": "
+                + result.played().name() + (result.fault() == null ? "" : " -- " + result.fault()));
+            return result;
+        }
+
+        private int table(List<Result> results) {
+            Map<String, int[]> groups = new LinkedHashMap<>();
+            for (Result result : results) {
+                int[] sums = groups.computeIfAbsent(result.played().group(), group -> new int[3]);
+                sums[0]++;
+                sums[1] += result.fault() == null ? 0 : 1;
+                sums[2] += (int) result.ms();
+            }
+            out.printf(Locale.ROOT, "%n%-14s %6s %7s %8s%n", "group", "cases", "faults", "ms");
+            groups.forEach((group, sums) ->
+                out.printf(Locale.ROOT, "%-14s %6d %7d %8d%n", group, sums[0], sums[1], sums[2]));
+            long faults = results.stream().filter(result -> result.fault() != null).count();
+            out.printf(Locale.ROOT, "%-14s %6d %7d%n", "all", results.size(), faults);
+            return faults == 0 ? 0 : 1;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/conformance/Stage.java
@@ -0,0 +1,198 @@
+package damsonslip.conformance;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.Closeable;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.TimeUnit;
+
+/** What one case plays on: connections, a queue and ids of its own, and the checks that are made most. */
+final class Stage implements Closeable {
+    /** A server may look for due jobs only every few seconds. */
+    private static final long DUE_MS = 9_000;
+
+    /** A server that differs from the protocol; the message tells how. */
+    static final class Fault extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+
+        Fault(String message) {
+            super(message);
+        }
+    }
+
+    final InetSocketAddress server;
+    final String password;
+    final String wid;
+    final String queue = "conf-" + id();
+    private final List<Wire> open = new ArrayList<>();
+    private Wire producer;
+    private Wire worker;
+
+    Stage(InetSocketAddress server, String password, String wid) {
+        this.server = server;
+        this.password = password;
+        this.wid = wid;
+    }
+
+    static String id() {
+        return UUID.randomUUID().toString().replace("-", "").substring(0, 16);
+    }
+
+    Wire raw() throws IOException {
+        Wire wire = new Wire(server);
+        open.add(wire);
+        return wire;
+    }
+
+    Wire connect(String as) throws IOException {
+        Wire wire = raw();
+        check(wire.hello(as, password).ok(), "HELLO is not answered OK");
+        return wire;
+    }
+
+    Wire producer() throws IOException {
+        producer = producer == null ? connect("") : producer;
+        return producer;
+    }
+
+    Wire worker() throws IOException {
+        worker = worker == null ? connect(wid) : worker;
+        return worker;
+    }
+
+    // ---- jobs
+
+    ObjectNode job(String jid) {
+        ObjectNode job = Wire.JSON.createObjectNode().put("jid", jid).put("jobtype", "Conformance").put("queue", queue);
+        job.putArray("args").add(1);
+        return job;
+    }
+
+    ObjectNode job() {
+        return job(id());
+    }
+
+    /** Pushes a job that has to be taken; gives its id. */
+    String push(ObjectNode job) throws IOException {
+        Wire.Reply reply = producer().call("PUSH " + job);
+        check(reply.ok(), "PUSH is answered " + reply);
+        return job.path("jid").asText();
+    }
+
+    String push() throws IOException {
+        return push(job());
+    }
+
+    /** Fetches from the case's own queue until a job comes; null after this long without one. */
+    JsonNode fetch(long patienceMs) throws IOException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(patienceMs);
+        do {
+            Wire.Reply reply = worker().call("FETCH " + queue);
+            check(!reply.error(), "FETCH is answered " + reply);
+            if (reply.text() != null) {
+                return reply.json();
+            }
+        } while (System.nanoTime() < end);
+        return null;
+    }
+
+    /** Fetches a job that has to come. */
+    JsonNode fetch() throws IOException {
+        JsonNode job = fetch(DUE_MS);
+        check(job != null, "no job comes from its queue");
+        return job;
+    }
+
+    void fetch(String jid) throws IOException {
+        String got = fetch().path("jid").asText();
+        check(jid.equals(got), "job " + jid + " was due, and " + got + " came");
+    }
+
+    void nothing() throws IOException {
+        JsonNode job = fetch(0);
+        check(job == null, "a job comes that must not: " + job);
+    }
+
+    void ack(String jid) throws IOException {
+        Wire.Reply reply = worker().call("ACK " + Wire.JSON.createObjectNode().put("jid", jid));
+        check(reply.ok(), "ACK is answered " + reply);
+    }
+
+    void fail(String jid) throws IOException {
+        ObjectNode failure = Wire.JSON.createObjectNode().put("jid", jid).put("errtype", "Broken")
+            .put("message", "it broke");
+        ArrayNode lines = failure.putArray("backtrace");
+        for (int i = 0; i < 10; i++) {
+            lines.add("line " + i);
+        }
+        Wire.Reply reply = worker().call("FAIL " + failure);
+        check(reply.ok(), "FAIL is answered " + reply);
+    }
+
+    void mutate(String verb, String target, String filter) throws IOException {
+        Wire.Reply reply = producer().call("MUTATE {\"cmd\":\"" + verb + "\",\"target\":\"" + target + "\""
+            + (filter.isEmpty() ? "" : ",\"filter\":" + filter) + "}");
+        check(reply.ok(), "MUTATE " + verb + " is answered " + reply);
+    }
+
+    static String jids(String... ids) {
+        ArrayNode array = Wire.JSON.createArrayNode();
+        for (String id : ids) {
+            array.add(id);
+        }
+        return Wire.JSON.createObjectNode().set("jids", array).toString();
+    }
+
+    JsonNode info() throws IOException {
+        Wire.Reply reply = producer().call("INFO");
+        check(!reply.error() && reply.text() != null, "INFO is answered " + reply);
+        return reply.json();
+    }
+
+    int size(String set) throws IOException {
+        JsonNode size = info().path("faktory").path("tasks").path(set).path("size");
+        check(size.isInt(), "INFO lacks faktory.tasks." + set + ".size");
+        return size.asInt();
+    }
+
+    int queued() throws IOException {
+        return info().path("faktory").path("queues").path(queue).asInt(0);
+    }
+
+    String track(String jid) throws IOException {
+        Wire.Reply reply = producer().call("TRACK GET " + jid);
+        check(!reply.error(), "TRACK GET is answered " + reply);
+        return reply.json().path("state").asText();
+    }
+
+    // ---- checks
+
+    static void check(boolean holds, String what) {
+        if (!holds) {
+            throw new Fault(what);
+        }
+    }
+
+    static void same(Object expected, Object got, String what) {
+        check(expected.equals(got), what + ": " + got + ", not " + expected);
+    }
+
+    /** A reply that has to be an error, after which the connection goes on. */
+    void refused(Wire wire, String line, String what) throws IOException {
+        Wire.Reply reply = wire.call(line);
+        check(reply.error(), what + " is answered " + reply + ", not an error");
+        check(!wire.call("INFO").error(), "the connection does not go on after " + what);
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Wire wire : open) {
+            wire.close();
+        }
+    }
+}
--- a/src/main/java/damsonslip/faktory/Consumer.java
+++ b/src/main/java/damsonslip/faktory/Consumer.java
@@ -15,7 +15,7 @@
 /** A worker process: its connections, the slots that it offers by fetching, and what it has in hand. */
 final class Consumer {
     /** A FETCH that waits for a job. */
-    record Offer(FaktoryLink link, List<String> queues, Loop.Timer timeout) { }
+    record Offer(FaktoryLink link, List<String> queues, Loop.Timer timeout, long sinceUs) { }
 
     /** Names of queues remembered for one worker: one that makes names up must not fill the memory. */
     private static final int MOST_QUEUES = 1_000;
@@ -31,6 +31,9 @@
     Status status = Status.RUNNING;
     long startedUs;
     long beatUs;
+    /** Slots of the jobs that it has in hand, or that are on their way to it. */
+    int inHand;
+    private int slots;
     /** What it says of its memory, in KiB; 0 if it does not. */
     long rssKb;
     /** When it last fetched from each queue. */
@@ -50,6 +53,17 @@
         return status == Status.RUNNING;
     }
 
+    /** Its slots: those that it offers and those that it uses; one that is between two fetches is remembered. */
+    int slots() {
+        slots = Math.max(slots, offers.size() + inHand);
+        return slots;
+    }
+
+    /** Forgets slots that it has not shown for a while, one at a time. */
+    void forgetSlot() {
+        slots = Math.max(offers.size() + inHand, slots - 1);
+    }
+
     void fetched(List<String> queues, long nowUs) {
         queues.forEach(queue -> fetched.put(queue, nowUs));
         if (fetched.size() > MOST_QUEUES) {
--- a/src/main/java/damsonslip/faktory/Consumers.java
+++ b/src/main/java/damsonslip/faktory/Consumers.java
@@ -21,6 +21,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -85,9 +86,9 @@
         return consumers.values();
     }
 
-    /** How many jobs workers have in hand. */
-    int inHand() {
-        return reservations.size();
+    /** How many jobs workers have in hand that somebody waits for. */
+    long awaitedInHand() {
+        return reservations.values().stream().filter(held -> job(held.execution).record().awaited()).count();
     }
 
     // ---- workers come, beat, and go
@@ -200,6 +201,7 @@
                 LOG.info("worker {} has stopped beating", consumer.wid);
                 stop(consumer, Status.GONE);
             }
+            consumer.forgetSlot();
         }
         loop.in(SWEEP_US, this::sweep);
     }
@@ -223,7 +225,7 @@
             if (consumer.offers.remove(offer[0])) {
                 link.reply(Reply.nothing());
             }
-        }));
+        }), loop.now());
         consumer.offers.add(offer[0]);
         for (Execution execution : consumer.expected) {
             Offer taken = consumer.takeOffer(job(execution).queue());
@@ -233,7 +235,7 @@
                 return;
             }
         }
-        report(consumer);
+        offered(consumer);
         desk.feedSoon();
     }
 
@@ -241,8 +243,15 @@
         driver.probed(consumer.wid, true, load(consumer));
     }
 
+    /** What a FETCH says: besides what is free, that the worker lives, and how many slots it has in all. */
+    private void offered(Consumer consumer) {
+        Report free = load(consumer);
+        driver.probed(consumer.wid, true, new Report(free.freeSlots(), free.freeMemory(), free.held(),
+            Math.max(1, consumer.slots())));
+    }
+
     private static Report load(Consumer consumer) {
-        return new Report(Math.max(0, consumer.offers.size() - consumer.expected.size()), Double.NaN, Double.NaN);
+        return new Report(Math.max(0, consumer.offers.size() - consumer.expected.size()), Double.NaN, consumer.inHand);
     }
 
     private static Handover job(Execution execution) {
@@ -258,13 +267,26 @@
     }
 
     @Override
-    public boolean offered(String queue) {
+    public Collection<Offered> offers() {
+        Map<List<String>, Offered> found = new LinkedHashMap<>();
         for (Consumer consumer : consumers.values()) {
-            if (consumer.runs() && consumer.offers(queue)) {
-                return true;
+            if (consumer.runs()) {
+                consumer.offers.forEach(offer -> found.putIfAbsent(offer.queues(),
+                    new Offered(offer.queues(), offer.sinceUs())));
             }
         }
-        return false;
+        return found.values();
+    }
+
+    @Override
+    public boolean offered(List<String> queues) {
+        return consumers.values().stream().anyMatch(consumer -> consumer.runs()
+            && consumer.offers.stream().anyMatch(offer -> offer.queues().equals(queues)));
+    }
+
+    @Override
+    public boolean offered(String queue) {
+        return consumers.values().stream().anyMatch(consumer -> consumer.runs() && consumer.offers(queue));
     }
 
     @Override
@@ -302,6 +324,7 @@
         Handover job = job(execution);
         Reservation held = new Reservation(execution, consumer);
         reservations.put(job.jid(), held);
+        consumer.inHand += execution.query().slots();
         desk.ledger().move(job.entry, job.record().reserved(consumer.wid, loop.now() / 1000));
         store.ask(new Op.Take(job.record()), body -> handOut(held, offer, body),
             () -> handBack(held, offer, Outcome.FULL));
@@ -323,6 +346,13 @@
         driver.started(held.execution);
     }
 
+    /** The worker's slot is its own again; gives false if that was so already. */
+    private boolean release(Reservation held) {
+        boolean was = reservations.remove(job(held.execution).jid(), held);
+        held.consumer.inHand -= was ? held.execution.query().slots() : 0;
+        return was;
+    }
+
     private void lapse(Reservation held) {
         job(held.execution).failure = Fate.Words.LAPSED;
         end(held, Outcome.RESET);
@@ -342,7 +372,7 @@
     /** The job has not left: its slot is offered again, and the module may place it elsewhere. */
     private void handBack(Reservation held, Offer offer, Outcome outcome) {
         Handover job = job(held.execution);
-        if (reservations.remove(job.jid(), held) && held.execution.open()) {
+        if (release(held) && held.execution.open()) {
             desk.unreserve(job);
         }
         if (!offer.link().isClosed()) {
@@ -361,13 +391,13 @@
         Reservation held = reservations.get(execution.query().id());
         if (held != null && held.execution == execution) {
             held.lapse.cancel();
-            reservations.remove(execution.query().id());
+            release(held);
         }
     }
 
     private void end(Reservation held, Outcome outcome) {
         held.lapse.cancel();
-        if (reservations.remove(job(held.execution).jid(), held)) {
+        if (release(held)) {
             driver.ended(held.execution, new Execution.End(outcome, load(held.consumer), ""));
         }
     }
--- a/src/main/java/damsonslip/faktory/Desk.java
+++ b/src/main/java/damsonslip/faktory/Desk.java
@@ -2,7 +2,6 @@
 
 import damsonslip.Dispatch.Effect;
 import damsonslip.Dispatch.JobClass;
-import damsonslip.Dispatch.PoolState;
 import damsonslip.core.Answer;
 import damsonslip.core.Counters;
 import damsonslip.core.Counters.Count;
@@ -18,10 +17,13 @@
 import damsonslip.store.AsyncStore;
 import damsonslip.store.JobRecord;
 import java.security.SecureRandom;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.function.IntPredicate;
 
 /**
  * Carries jobs between the sets, the module and the store. A job that somebody waits for goes to the module as it comes;
@@ -34,6 +36,8 @@
     private static final long SWEEP_US = 100_000;
     /** What the module turned away without a figure, or with a tiny one, is offered again no sooner. */
     private static final long LEAST_PAUSE_US = 10_000;
+    /** A FETCH that the module has left alone for this long is of no use to what waits there. */
+    private static final long LEFT_US = 150_000;
     /** Jobs in the store's queue beyond which nothing further is handed over: each still needs two writes. */
     private static final int STORE_BUSY = 5_000;
     /** The housekeeping that may take a while is done once in so many sweeps. */
@@ -49,16 +53,19 @@
     private final Counters counters;
     private final Ledger ledger;
     private final Fetchers fetchers;
+    private final boolean fair;
     private final SplittableRandom random = new SplittableRandom(new SecureRandom().nextLong());
     /** By class: nothing of it is offered to the module before this time. */
     private final long[] blockedUntilUs;
     private Consumer<String> batchChanged = bid -> { };
     private Consumer<JobRecord> succeeded = record -> { };
+    /** What the module has of jobs that nobody waits for. */
+    private final Set<Handover> offered = new LinkedHashSet<>();
     private boolean feeding;
     private int sweeps;
 
     Desk(Loop loop, Site site, Driver driver, AsyncStore store, Phase phase, Counters counters, Ledger ledger,
-         Fetchers fetchers) {
+         Fetchers fetchers, boolean fair) {
         this.loop = loop;
         this.site = site;
         this.driver = driver;
@@ -67,6 +74,7 @@
         this.counters = counters;
         this.ledger = ledger;
         this.fetchers = fetchers;
+        this.fair = fair;
         this.blockedUntilUs = new long[site.classNames().size()];
         loop.in(SWEEP_US, this::sweep);
     }
@@ -89,6 +97,11 @@
         return site.settings().classes().get(entry.jobClass());
     }
 
+    /** Jobs with the module or a worker that somebody waits for. */
+    int awaited() {
+        return driver.open() - offered.size();
+    }
+
     // ---- into the sets
 
     /** Takes up a job that the store has; tells a refusal that came at once, or null. */
@@ -149,23 +162,41 @@
         if (phase.atLeast(State.FINISHING) || !store.up() || store.waiting() > STORE_BUSY) {
             return;
         }
-        for (int jobClass = 0; jobClass < blockedUntilUs.length; jobClass++) {
-            while (ledger.waits(jobClass) && loop.now() >= blockedUntilUs[jobClass] && !holds(jobClass)) {
-                Entry next = ledger.next(jobClass, nowMs(), fetchers::offered);
-                if (next == null) {
-                    break;
-                }
+        for (Fetchers.Offered offer : List.copyOf(fetchers.offers())) {
+            IntPredicate open = jobClass -> admits(jobClass, offer.sinceUs());
+            Entry next = ledger.next(offer.queues(), fair, nowMs(), open);
+            while (next != null && fetchers.offered(offer.queues())) {
                 if (!expired(next)) {
                     handOver(next);
                 }
+                next = ledger.next(offer.queues(), fair, nowMs(), open);
             }
         }
     }
 
-    /** Whether jobs of this class wait in the module already: those that somebody waits for go before all else. */
-    private boolean holds(int jobClass) {
-        List<PoolState> pools = driver.pools();
-        return pools.get(jobClass).held() > 0;
+    /**
+     * Whether jobs of this class may be offered: not while others wait in the module, which somebody may wait for,
+     * unless these have left a FETCH alone for so long that they cannot use it.
+     */
+    private boolean admits(int jobClass, long offeredUs) {
+        return loop.now() >= blockedUntilUs[jobClass]
+            && (driver.pools().get(jobClass).held() == 0 || loop.now() - offeredUs > LEFT_US);
+    }
+
+    /**
+     * Takes jobs that nobody waits for back from the module when no worker offers a slot for their queue any more.
+     * Guards their class against standing still behind a queue that nobody fetches.
+     */
+    private void recall() {
+        long before = loop.now() - LEFT_US;
+        for (Handover handover : List.copyOf(offered)) {
+            boolean idle = handover.entry.record().state() == JobRecord.State.QUEUED && !handover.ran;
+            if (idle && handover.sinceUs < before && !fetchers.offered(handover.queue())) {
+                offered.remove(handover);
+                driver.gone(handover.exchange);
+                ledger.comesBack(handover.entry, 0);
+            }
+        }
     }
 
     private boolean expired(Entry entry) {
@@ -190,8 +221,7 @@
             return null;
         }
         if (!Fate.mayRun(record, classOf(entry), nowMs())) { // guards the rule, whoever put it into its queue
-            JobRecord next = record.to(JobRecord.State.DEAD, nowMs(), "it may have run and must not run twice", nowMs());
-            moveTo(entry, next);
+            moveTo(entry, record.to(JobRecord.State.DEAD, nowMs(), "it may have run and must not run twice", nowMs()));
             return null;
         }
         Effect effect = classOf(entry).effect();
@@ -200,11 +230,15 @@
         long deadlineMs = record.awaited() ? record.facts().deadlineMs() : nowMs()
             + Math.max(site.deadlineUs(entry.jobClass()) / 1000, record.facts().reserveMs() + BEYOND_RESERVE_MS);
         String queue = record.facts().queue();
-        Handover handover = new Handover(entry);
+        Handover handover = new Handover(entry, loop.now());
         ledger.handOver(entry);
+        if (!record.awaited()) {
+            offered.add(handover);
+        }
         String[] refused = new String[1];
-        driver.take(new Query(record.id(), entry.jobClass(), deadlineMs * 1000, record.facts().slots(), 0, null,
-            mostRuns, worker -> !ledger.paused(queue) && fetchers.fetches(worker, queue), handover),
+        handover.exchange = driver.take(new Query(record.id(), entry.jobClass(), deadlineMs * 1000,
+            record.facts().slots(), 0, null, mostRuns,
+            worker -> !ledger.paused(queue) && fetchers.fetches(worker, queue), handover),
             answer -> refused[0] = answered(handover, answer));
         return refused[0];
     }
@@ -212,6 +246,7 @@
     /** The module's final answer; gives the words of a refusal, or null. */
     private String answered(Handover handover, Answer answer) {
         Entry entry = handover.entry;
+        offered.remove(handover);
         if (ledger.get(entry.id()) != entry) {
             return null; // thrown away by an operator meanwhile
         }
@@ -343,6 +378,7 @@
         try {
             if (phase.is(State.SERVING) || phase.is(State.LEAVING)) {
                 due();
+                recall();
                 feedSoon();
                 if (++sweeps % RARELY == 0) {
                     ledger.deadTooLong(nowMs()).forEach(entry -> moveTo(entry,
--- a/src/main/java/damsonslip/faktory/Faktory.java
+++ b/src/main/java/damsonslip/faktory/Faktory.java
@@ -76,7 +76,7 @@
         this.store = new AsyncStore(loop, store(config));
         this.consumers = new Consumers(loop, config.site(), driver, store, counters);
         this.desk = new Desk(loop, config.site(), driver, store, phase, counters,
-            new Ledger(config.site().classNames().size(), config.waiting()), consumers);
+            new Ledger(config.site().classNames().size(), config.waiting()), consumers, config.fair());
         this.batches = new Workshop(store, desk);
         this.producers = new Producers(loop, store, phase, counters, config, desk, batches);
         this.operators = new Operators(loop, store, counters, desk, batches, consumers);
@@ -124,13 +124,16 @@
         }
     }
 
-    /** What is held and not handed out stays in the store for the next start; what workers have is waited for. */
+    /**
+     * What is held and not handed out stays in the store for the next start, and so does what workers have and nobody
+     * waits for: their word may come to the next start as well. Only what somebody waits for is waited for here.
+     */
     @Override
     public void leave() {
         long longest = config.site().deadlinesUs().stream().mapToLong(Long::longValue).max().orElse(0);
         boolean lasting = !config.store().equals("memory");
         loop.execute(() -> new Leave(loop, phase, LEAVING_US, longest, this::shut,
-            () -> lasting ? consumers.inHand() == 0 : driver.open() == 0).begin());
+            () -> lasting ? consumers.awaitedInHand() == 0 : desk.awaited() == 0).begin());
     }
 
     private void shut() {
--- a/src/main/java/damsonslip/faktory/FaktoryConfig.java
+++ b/src/main/java/damsonslip/faktory/FaktoryConfig.java
@@ -28,13 +28,14 @@
  * @param links         how many connections it holds at the most
  * @param longestLine   the longest line that a peer may send, in bytes
  * @param leastReserveS a job's shorter {@code reserve_for} is raised to this, in seconds
+ * @param fair          whether a FETCH is served from the queue served longest ago, not in its own order
  * @param waiting       how much may wait
  * @param routes        which class a job belongs to
  * @param site          classes, limits and the figures of the rules
  */
 public record FaktoryConfig(String name, String listen, String password, String store, String storePassword,
-                            String console, int links, int longestLine, int leastReserveS, Ledger.Limits waiting,
-                            Routes routes, Site site) {
+                            String console, int links, int longestLine, int leastReserveS, boolean fair,
+                            Ledger.Limits waiting, Routes routes, Site site) {
     private static final int LINKS = 800;
     /** A thousand jobs of a kilobyte each, as the official clients push them in bulk. */
     private static final int LONGEST_LINE = 1024 * 1024;
@@ -60,7 +61,7 @@
             return new FaktoryConfig(text(root, "name"), text(root, "listen"), root.path("password").asText(""),
                 store, root.path("store_password").asText(""), root.path("console").asText(""),
                 whole(root, "links", LINKS, 1), whole(root, "longest_line", LONGEST_LINE, 1024),
-                whole(jobs, "least_reserve_s", LEAST_RESERVE_S, 1), limits, routes(root, jobs, site), site);
+                whole(jobs, "least_reserve_s", LEAST_RESERVE_S, 1), fair(jobs), limits, routes(root, jobs, site), site);
         } catch (JsonProcessingException e) {
             throw new BadInput("config: " + file + ": not TOML: "
                 + e.getOriginalMessage().lines().findFirst().orElse(""));
@@ -69,6 +70,14 @@
         }
     }
 
+    private static boolean fair(JsonNode jobs) throws BadInput {
+        String order = jobs.path("queue_order").asText("strict");
+        if (!order.equals("strict") && !order.equals("fair")) {
+            throw new BadInput("config: queue_order: neither strict nor fair: " + order);
+        }
+        return order.equals("fair");
+    }
+
     private static Routes routes(JsonNode root, JsonNode jobs, Site site) throws BadInput {
         List<Routes.Route> routes = new ArrayList<>();
         for (JsonNode route : root.path("route")) {
--- a/src/main/java/damsonslip/faktory/Producers.java
+++ b/src/main/java/damsonslip/faktory/Producers.java
@@ -19,8 +19,11 @@
 import damsonslip.store.JobRecord;
 import damsonslip.store.Op;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 
 /** The client side: producers that push, and the state of each job, which they may track. */
@@ -42,8 +45,8 @@
     private final Workshop batches;
     /** Pushes that are with the store, by id. */
     private final Map<String, Integer> adding = new HashMap<>();
-    /** Jobs whose push got no answer from the store: the producer was told that they were not taken. */
-    private final Map<String, JobRecord> uncertain = new HashMap<>();
+    /** Pushes that got no answer from the store, by id: the producer was told that its job was not taken. */
+    private final Map<String, Set<JobRecord>> uncertain = new HashMap<>();
     private final Map<String, Progress> progress = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
@@ -165,8 +168,10 @@
             added(record.id());
             if (ledger.get(record.id()) == null) {
                 ledger.unlock(record.id(), record.facts());
-                uncertain.put(record.id(), record);
-                loop.in(LOOK_AGAIN_US, () -> withdraw(record));
+                if (uncertain.computeIfAbsent(record.id(), id -> new HashSet<>()).isEmpty()) {
+                    loop.in(LOOK_AGAIN_US, () -> withdraw(record.id()));
+                }
+                uncertain.get(record.id()).add(record);
             }
             then.accept("ERR the store is down and the job was not taken; push it again");
         });
@@ -178,7 +183,8 @@
 
     /** The store has it, or had it before; tells a refusal at the door, or null. */
     private String added(JobRecord record, String body, int jobClass, JobRecord before) {
-        JobRecord ours = uncertain.remove(record.id());
+        Set<JobRecord> ours = uncertain.getOrDefault(record.id(), Set.of());
+        uncertain.remove(record.id());
         if (before == null) {
             return take(record, jobClass);
         }
@@ -186,7 +192,7 @@
             store.ask(new Op.Replace(record, body), done -> { }, () -> store.insist(new Op.Replace(record, body)));
             return take(record, jobClass);
         }
-        if (before.equals(ours) && ledger.get(record.id()) == null) {
+        if (ours.contains(before) && ledger.get(record.id()) == null) {
             return take(before, jobClass); // its first push took effect, and only the answer was lost
         }
         if (ledger.get(record.id()) == null) {
@@ -211,19 +217,24 @@
      * Takes a job out of the store that may have come there although its producer heard otherwise. Guards against a
      * job that runs although nobody was promised it.
      */
-    private void withdraw(JobRecord record) {
-        if (uncertain.get(record.id()) != record) {
+    private void withdraw(String jid) {
+        Set<JobRecord> ours = uncertain.get(jid);
+        if (ours == null) {
             return;
         }
-        store.ask(new Op.Get(record.id()), found -> {
-            if (uncertain.get(record.id()) != record || adding.containsKey(record.id())) {
-                return; // pushed again meanwhile: that push decides
+        store.ask(new Op.Get(jid), found -> {
+            if (uncertain.get(jid) != ours) {
+                return; // pushed again meanwhile, and taken
+            }
+            if (adding.containsKey(jid)) { // being pushed again: that push decides first
+                loop.in(LOOK_AGAIN_US, () -> withdraw(jid));
+                return;
             }
-            uncertain.remove(record.id());
-            if (record.equals(found) && ledger.get(record.id()) == null) {
-                store.insist(new Op.Drop(java.util.List.of(record.id())));
+            uncertain.remove(jid);
+            if (ours.contains(found) && ledger.get(jid) == null) {
+                store.insist(new Op.Drop(List.of(jid)));
             }
-        }, () -> loop.in(LOOK_AGAIN_US, () -> withdraw(record)));
+        }, () -> loop.in(LOOK_AGAIN_US, () -> withdraw(jid)));
     }
 
     // ---- callbacks of batches
--- a/src/main/java/damsonslip/faktory/sets/Ledger.java
+++ b/src/main/java/damsonslip/faktory/sets/Ledger.java
@@ -5,17 +5,17 @@
 import damsonslip.store.JobRecord.State;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.NavigableMap;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.function.Predicate;
+import java.util.function.IntPredicate;
 
 /**
  * Where each open job is. Not thread-safe; the caller gives the time and keeps the store in step.
@@ -24,7 +24,7 @@
  * module leaves its lane, and one that comes back from there unrun finds its old place again.
  */
 public final class Ledger {
-    /** Classes take turns among queues; a queue that nobody fetches is passed over. */
+    /** A lane's key: the priority, turned round, in the upper bits, and the place in the order of arrival below. */
     private static final int PRIORITIES = 10;
     private static final int SEQ_BITS = 56;
 
@@ -93,12 +93,15 @@
     private final Limits limits;
     private final Map<String, Entry> all = new HashMap<>();
     private final Map<State, NavigableMap<Due, Entry>> timed = new EnumMap<>(State.class);
-    /** By class, then by queue in the order of their turns. */
-    private final List<LinkedHashMap<String, TreeMap<Long, Entry>>> lanes = new ArrayList<>();
+    /** By class, then by queue. */
+    private final List<Map<String, TreeMap<Long, Entry>>> lanes = new ArrayList<>();
     private final Map<String, Integer> queueSizes = new TreeMap<>();
     private final Set<String> paused = new TreeSet<>();
     private final Map<String, Lock> locks = new HashMap<>();
     private final Map<String, Tally> tallies = new HashMap<>();
+    /** When each queue was served last, in turns. */
+    private final Map<String, Long> served = new HashMap<>();
+    private long turns;
     private int working;
     private int handed;
     private long lastSeq;
@@ -106,7 +109,7 @@
     public Ledger(int classes, Limits limits) {
         this.limits = limits;
         for (int i = 0; i < classes; i++) {
-            lanes.add(new LinkedHashMap<>());
+            lanes.add(new HashMap<>());
         }
         for (State state : List.of(State.SCHEDULED, State.RETRY, State.DEAD)) {
             timed.put(state, new TreeMap<>());
@@ -232,7 +235,7 @@
     }
 
     private void lane(Entry entry, int sign) {
-        LinkedHashMap<String, TreeMap<Long, Entry>> queues = lanes.get(entry.jobClass);
+        Map<String, TreeMap<Long, Entry>> queues = lanes.get(entry.jobClass);
         Facts facts = entry.record.facts();
         long order = (long) (PRIORITIES - facts.priority()) << SEQ_BITS | entry.record.seq();
         if (sign > 0) {
@@ -241,6 +244,7 @@
             TreeMap<Long, Entry> lane = queues.get(facts.queue());
             if (lane != null && lane.remove(order) != null && lane.isEmpty()) {
                 queues.remove(facts.queue());
+                served.remove(facts.queue());
             }
         }
     }
@@ -261,24 +265,43 @@
     // ---- what is next
 
     /**
-     * The job of a class whose turn it is to be offered to the module; null if none is. Queues take turns, and within
-     * one the order is by priority and arrival.
+     * The job that is to be offered to the module next for a worker that fetches from these queues; null if none is.
      *
-     * @param served whether some worker fetches from a queue now
+     * @param queues in the worker's order: the first that has a job is served, as the protocol has it
+     * @param fair   the queue that was served longest ago comes first instead
+     * @param open   which classes may be offered now
      */
-    public Entry next(int jobClass, long nowMs, Predicate<String> served) {
-        LinkedHashMap<String, TreeMap<Long, Entry>> queues = lanes.get(jobClass);
-        for (Map.Entry<String, TreeMap<Long, Entry>> queue : queues.entrySet()) {
-            Entry first = queue.getValue().firstEntry().getValue();
-            if (first.notBeforeMs <= nowMs && !paused.contains(queue.getKey()) && served.test(queue.getKey())) {
-                TreeMap<Long, Entry> lane = queues.remove(queue.getKey());
-                queues.put(queue.getKey(), lane); // its next turn comes after all others'
-                return first;
+    public Entry next(List<String> queues, boolean fair, long nowMs, IntPredicate open) {
+        List<String> order = queues;
+        if (fair && queues.size() > 1) {
+            order = new ArrayList<>(queues);
+            order.sort(Comparator.comparingLong(queue -> served.getOrDefault(queue, 0L)));
+        }
+        for (String queue : order) {
+            Entry next = paused.contains(queue) ? null : first(queue, nowMs, open);
+            if (next != null) {
+                served.put(queue, ++turns);
+                return next;
             }
         }
         return null;
     }
 
+    /** The first of a queue, by priority and arrival, among the classes that may be offered. */
+    private Entry first(String queue, long nowMs, IntPredicate open) {
+        Entry found = null;
+        long least = Long.MAX_VALUE;
+        for (int jobClass = 0; jobClass < lanes.size(); jobClass++) {
+            TreeMap<Long, Entry> lane = lanes.get(jobClass).get(queue);
+            if (lane != null && lane.firstKey() < least && open.test(jobClass)
+                && lane.firstEntry().getValue().notBeforeMs <= nowMs) {
+                least = lane.firstKey();
+                found = lane.firstEntry().getValue();
+            }
+        }
+        return found;
+    }
+
     /** Whether a class has jobs that wait to be offered. */
     public boolean waits(int jobClass) {
         return !lanes.get(jobClass).isEmpty();
--- a/src/main/java/damsonslip/program/Main.java
+++ b/src/main/java/damsonslip/program/Main.java
@@ -1,5 +1,7 @@
 package damsonslip.program;
 
+import damsonslip.bench.Bench;
+import damsonslip.conformance.Conformance;
 import damsonslip.console.Console;
 import damsonslip.settings.BadInput;
 import damsonslip.simhost.SimHost;
@@ -13,10 +15,11 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 
-/** The command line: {@code java -jar damsonslip.jar serve|console|simhost}. */
+/** The command line: {@code java -jar damsonslip.jar COMMAND}. */
 public final class Main {
     private static final String USAGE =
-        "usage: java -jar damsonslip.jar serve [FILE] | console [ADDRESS [COMMAND]] | simhost | rehearse";
+        "usage: java -jar damsonslip.jar serve [FILE] | console [ADDRESS [COMMAND]] | conformance HOST:PORT"
+        + " | bench HOST:PORT | simhost | rehearse";
 
     private Main() { }
 
@@ -32,7 +35,8 @@
     static int run(String[] args, InputStream in, OutputStream out, PrintStream err) {
         String command = args.length == 0 ? "" : args[0];
         boolean withFile = args.length == 2 && command.equals("serve");
-        if (args.length != 1 && !withFile && !command.equals("console")) {
+        boolean withMore = List.of("console", "conformance", "bench").contains(command);
+        if (args.length != 1 && !withFile && !withMore) {
             err.println(USAGE);
             return 2;
         }
@@ -46,6 +50,14 @@
                 case "rehearse" -> Rehearsal.run();
                 case "console" -> Console.run(List.of(args).subList(1, args.length),
                     new PrintStream(out, true, StandardCharsets.UTF_8));
+                case "conformance" -> {
+                    return Conformance.run(List.of(args).subList(1, args.length),
+                        new PrintStream(out, true, StandardCharsets.UTF_8));
+                }
+                case "bench" -> {
+                    return Bench.run(List.of(args).subList(1, args.length),
+                        new PrintStream(out, true, StandardCharsets.UTF_8));
+                }
                 default -> {
                     err.println(USAGE);
                     return 2;
--- a/src/main/java/damsonslip/store/AsyncStore.java
+++ b/src/main/java/damsonslip/store/AsyncStore.java
@@ -115,11 +115,11 @@
             }
             calls.drainTo(together, MOST_TOGETHER - 1);
             waiting.addAndGet(-together.size());
-            run(List.copyOf(together));
+            carryOut(List.copyOf(together));
         }
     }
 
-    private void run(List<Call<?>> together) {
+    private void carryOut(List<Call<?>> together) {
         List<Object> results;
         try {
             results = guarded(together.stream().map(Call::op).toList());
@@ -157,7 +157,7 @@
             throw new StoreException("the store is down", null);
         }
         try {
-            List<Object> result = store.run(ops);
+            List<Object> result = run(ops);
             if (down) {
                 LOG.info("the store answers again");
             }
@@ -173,6 +173,16 @@
         }
     }
 
+    /** Guards the thread, and with it every later call, against a fault in one. */
+    private List<Object> run(List<? extends Op<?>> ops) throws StoreException {
+        try {
+            return store.run(ops);
+        } catch (RuntimeException e) {
+            LOG.error("a call to the store failed", e);
+            throw new StoreException("a call to the store failed", e);
+        }
+    }
+
     /** Lets what is asked be done, for a while, and closes the store. */
     public void close() {
         closing = true;
--- a/src/main/java/damsonslip/store/MemoryStore.java
+++ b/src/main/java/damsonslip/store/MemoryStore.java
@@ -65,7 +65,12 @@
     private Object aside(Op<?> op) {
         if (op instanceof Op.Note note) {
             Map<String, String> kind = notes.computeIfAbsent(note.kind(), k -> new LinkedHashMap<>());
-            return note.words() == null ? kind.remove(note.key()) : kind.put(note.key(), note.words());
+            if (note.words() == null) {
+                kind.remove(note.key());
+            } else {
+                kind.put(note.key(), note.words());
+            }
+            return null;
         } else if (op instanceof Op.Notes all) {
             return new LinkedHashMap<>(notes.getOrDefault(all.kind(), Map.of()));
         } else if (op instanceof Op.FirstSeen seen) {
--- /dev/null
+++ b/src/test/java/damsonslip/conformance/ConformanceTest.java
@@ -0,0 +1,68 @@
+package damsonslip.conformance;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.Peer;
+import damsonslip.kit.Program;
+import damsonslip.kit.RedisStandIn;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The suite against this program on each store, and against a server that gets everything wrong. */
+class ConformanceTest {
+    @TempDir
+    Path dir;
+
+    private static String play(int port, int code, String... more) throws IOException, InterruptedException {
+        String[] arguments = new String[more.length + 2];
+        arguments[0] = "conformance";
+        arguments[1] = "127.0.0.1:" + port;
+        System.arraycopy(more, 0, arguments, 2, more.length);
+        try (Program suite = new Program(null, arguments)) {
+            assertEquals(code, suite.exit(90), suite.said());
+            return suite.said();
+        }
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"memory", "redis"})
+    void everyCasePasses(String store) throws Exception {
+        int port = Program.freePort();
+        try (RedisStandIn redis = new RedisStandIn()) {
+            String file = Files.readString(Path.of("deploy/faktory.toml")).replace("127.0.0.1:7419", "127.0.0.1:" + port)
+                .replace("redis://127.0.0.1:6379", store.equals("memory") ? store : "redis://127.0.0.1:" + redis.port)
+                .replace("127.0.0.1:7420", "").replace("password = \"\"  ", "password = \"open sesame\"  ");
+            try (Program program = new Program(null, "serve", Program.file(dir, file).toString())
+                     .awaitWord("taken up from the store")) {
+                String told = play(port, 0, "--password", "open sesame", "--flush");
+                assertFalse(told.contains("FAULT"), told);
+                assertTrue(told.matches("(?s).*all +6[0-9] +0\\s*"), told);
+                assertFalse(program.said().contains("ERROR"), program.said());
+            }
+        }
+    }
+
+    /** Shows that the cases can fail: this server says OK whatever it is asked. */
+    @Test
+    void aServerThatOnlySaysOkIsFoundOut() throws Exception {
+        try (Peer.Server yes = new Peer.Server(0, peer -> {
+            peer.send("+HI {\"v\":2}\r\n");
+            while (peer.line() != null) {
+                peer.send("+OK\r\n");
+            }
+        })) {
+            String told = play(yes.port(), 1);
+            assertTrue(told.contains("FAULT  handshake: HELLO comes first"), told);
+            assertTrue(told.contains("FAULT  push: a plain job comes to a worker as it was"), told);
+            long passed = told.lines().filter(line -> line.startsWith("ok ")).count();
+            assertTrue(passed < 10, passed + " cases pass on a server that does nothing: " + told);
+        }
+    }
+}
--- a/src/test/java/damsonslip/faktory/FaktoryTroublesTest.java
+++ b/src/test/java/damsonslip/faktory/FaktoryTroublesTest.java
@@ -99,7 +99,8 @@
     private Program program(RedisStandIn redis) throws IOException {
         String file = Files.readString(Path.of("deploy/faktory.toml")).replace("127.0.0.1:7419", "127.0.0.1:" + port)
             .replace("127.0.0.1:6379", "127.0.0.1:" + redis.port).replace("127.0.0.1:7420", "")
-            .replace("cold_s = 24.0", "cold_s = 3.0");
+            .replace("cold_s = 24.0", "cold_s = 3.0")
+            .replace("cold_share = 1.0", "cold_share = 0.13");
         return new Program(null, "serve", Program.file(dir, file).toString()).awaitWord("taken up from the store");
     }
 
--- /dev/null
+++ b/src/test/java/damsonslip/faktory/sets/BatchesTest.java
@@ -0,0 +1,129 @@
+package damsonslip.faktory.sets;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.faktory.sets.Batches.Batch;
+import damsonslip.faktory.sets.Batches.Callback;
+import damsonslip.faktory.sets.Ledger.Entry;
+import damsonslip.store.JobRecord;
+import damsonslip.store.JobRecord.Facts;
+import damsonslip.store.JobRecord.State;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** When callbacks are due. */
+class BatchesTest {
+    private final Ledger ledger = new Ledger(1, new Ledger.Limits(100, 100, 100, 1_000));
+    private final Batches batches = new Batches(ledger);
+
+    private void batch(String bid, String parent) {
+        batches.add(new Batch(bid, parent, "", "{s}", "{c}", false, 0, Callback.NOT_YET, Callback.NOT_YET, 0));
+    }
+
+    private Entry job(String id, String bid) {
+        batches.pushed(bid);
+        Facts facts = new Facts("q", "t", "any", 5, 5, 1, 1, 0, 0, bid, "", "", 0, false, 0);
+        return ledger.add(JobRecord.pushed(id, facts, 0, 0).numbered(ledger.nextSeq()), 0);
+    }
+
+    private String due(String bid) {
+        return batches.settle(bid).stream().map(d -> d.batch().callbackId(d.success())).toList().toString();
+    }
+
+    private void fail(Entry entry, State state) {
+        ledger.move(entry, entry.record().failed(new JobRecord.Failure(0, 1, "E", "m", List.of())).to(state, 9, "", 9));
+    }
+
+    @Test
+    void completeComesOnceAllWereRunAndSuccessOnceAllSucceeded() {
+        batch("b", "");
+        Entry one = job("one", "b");
+        Entry two = job("two", "b");
+        ledger.remove(one);
+        fail(two, State.RETRY);
+        assertEquals("[]", due("b"), "not committed");
+        batches.commit("b");
+        assertEquals("[b-complete]", due("b"));
+        assertEquals("[]", due("b"), "once only");
+        assertEquals(1, batches.failed("b"));
+        ledger.remove(two);
+        assertEquals("[b-success]", due("b"));
+        assertEquals("[]", due("b"));
+    }
+
+    @Test
+    void aJobThatDiesKeepsSuccessAwayUntilItIsDoneAfterAll() {
+        batch("b", "");
+        Entry job = job("one", "b");
+        batches.commit("b");
+        fail(job, State.DEAD);
+        assertEquals("[b-complete]", due("b"));
+        assertEquals("[]", due("b"));
+        ledger.move(job, job.record().queued(ledger.nextSeq(), 0));
+        assertEquals("[]", due("b"));
+        ledger.remove(job);
+        assertEquals("[b-success]", due("b"));
+    }
+
+    @Test
+    void anOuterBatchWaitsForTheCallbacksOfThoseInside() {
+        batch("out", "");
+        batch("in", "out");
+        Entry job = job("one", "in");
+        batches.commit("out");
+        assertEquals("[]", due("out"));
+        batches.commit("in");
+        ledger.remove(job);
+        assertEquals("[in-complete, in-success]", due("in"));
+        assertEquals("[]", due("out"), "its callbacks have not been run yet");
+        batches.ran("in", false);
+        assertEquals("[out-complete]", due("in"));
+        batches.ran("in", true);
+        assertEquals("[out-success]", due("in"));
+    }
+
+    @Test
+    void aBatchIsOpenOrClosed() {
+        assertNotNull(batches.closed("none"));
+        batch("b", "");
+        assertNull(batches.closed("b"));
+        job("one", "b");
+        batches.commit("b");
+        assertTrue(batches.closed("b").contains("committed"));
+        assertNotNull(batches.open("b"));
+        assertNull(batches.closed("b"));
+        batches.commit("b");
+        ledger.remove(ledger.get("one"));
+        due("b");
+        assertNull(batches.open("b"), "its end has been told");
+        assertNull(batches.open("none"));
+        assertNull(batches.commit("none"));
+    }
+
+    @Test
+    void aRestartKnowsWhatWasDue() {
+        batch("b", "");
+        batches.commit("b");
+        due("b");
+        Batches after = new Batches(new Ledger(1, new Ledger.Limits(1, 1, 1, 1)));
+        batches.all().forEach(after::add);
+        assertEquals(List.of("b-complete", "b-success"),
+            after.unfinished().stream().map(d -> d.batch().callbackId(d.success())).toList());
+    }
+
+    @Test
+    void aBatchWithoutACallbackIsOverWithoutOneAndParentsInACircleEnd() {
+        batches.add(new Batch("b", "c", "", "", "{c}", false, 0, Callback.NOT_YET, Callback.NOT_YET, 0));
+        batches.add(new Batch("c", "b", "", "", "{c}", false, 0, Callback.NOT_YET, Callback.NOT_YET, 0));
+        batches.commit("b");
+        assertEquals("[]", due("b"), "each waits for the other, and the search for what is due ends");
+        batches.add(new Batch("d", "", "", "", "{c}", true, 0, Callback.NOT_YET, Callback.NOT_YET, 0));
+        assertEquals(2, batches.settle("d").size());
+        assertEquals(Callback.DONE, batches.get("d").onSuccess(), "there is nothing to run");
+        assertEquals(Callback.DUE, batches.get("d").onComplete());
+        assertEquals(List.of("d"), batches.forget(4_000_000), "what is over is forgotten after a while");
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonslip/faktory/sets/FateTest.java
@@ -0,0 +1,112 @@
+package damsonslip.faktory.sets;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.Dispatch.Effect;
+import damsonslip.Dispatch.Group;
+import damsonslip.Dispatch.JobClass;
+import damsonslip.store.JobRecord;
+import damsonslip.store.JobRecord.Facts;
+import damsonslip.store.JobRecord.State;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** What becomes of a job, for every class and retry count. */
+class FateTest {
+    static final JobClass SAFE = new JobClass(1, 2, 1, Effect.SAFE, Group.ALL, 0, -1);
+    static final JobClass ONCE = new JobClass(1, 2, 1, Effect.UNSAFE, Group.ALL, 0, -1);
+    static final JobClass KEYED = new JobClass(1, 2, 1, Effect.KEYED, Group.ALL, 40_000_000, -1);
+    static final JobClass BY_ZONE = new JobClass(1, 2, 1, Effect.KEYED, Group.ZONE, 40_000_000, -1);
+    private static final Fate.Words BROKEN = new Fate.Words("E", "m", List.of("a", "b", "c"));
+    private final SplittableRandom random = new SplittableRandom(1);
+
+    static JobRecord record(String id, String queue, int retry, long deadlineMs) {
+        Facts facts = new Facts(queue, "t", "any", 5, retry, 60_000, 1, deadlineMs, 0, "", "", "", 0, false, 2);
+        return JobRecord.pushed(id, facts, 0, 1_000);
+    }
+
+    private static JobRecord ran(int retry, long deadlineMs) {
+        return record("j", "q", retry, deadlineMs).reserved("w", 10_000);
+    }
+
+    private Fate.Next fail(JobRecord record, JobClass of) {
+        return Fate.failed(record, of, BROKEN, 20_000, random);
+    }
+
+    @Test
+    void aBackoffIsTheFourthPowerAndChance() {
+        for (int count : new int[] {0, 1, 2, 5, 24}) {
+            long least = 1000L * (count * count * count * count + 15);
+            for (int i = 0; i < 200; i++) {
+                long ms = Fate.backoffMs(count, random);
+                assertTrue(ms >= least && ms <= least + 29_000L * (count + 1), count + ": " + ms);
+            }
+        }
+        assertTrue(Fate.backoffMs(1_000_000, random) > 0, "and no count makes it negative");
+    }
+
+    @Test
+    void aFailureIsTriedAgainUntilItsRetriesAreUsedUp() {
+        JobRecord record = ran(2, 0);
+        for (int count = 0; count < 2; count++) {
+            Fate.Next next = fail(record, SAFE);
+            assertEquals(State.RETRY, next.state());
+            assertEquals(count, next.failure().count());
+            assertTrue(next.dueMs() >= 20_000 + 15_000);
+            assertEquals(List.of("a", "b"), next.failure().backtrace(), "as much as it asked for");
+            record = record.failed(next.failure());
+        }
+        Fate.Next last = fail(record, SAFE);
+        assertEquals(State.DEAD, last.state());
+        assertTrue(last.words().contains("no retries are left"));
+    }
+
+    @Test
+    void noRetryDiscardsAndMinusOneBuries() {
+        assertEquals(State.DISCARDED, fail(ran(0, 0), SAFE).state());
+        assertEquals(State.DEAD, fail(ran(-1, 0), SAFE).state());
+    }
+
+    @Test
+    void whatMustNotRunTwiceIsDeadWhateverItsRetryCount() {
+        for (int retry : new int[] {-1, 0, 1, 25}) {
+            Fate.Next next = fail(ran(retry, 0), ONCE);
+            assertEquals(State.DEAD, next.state());
+            assertTrue(next.words().contains("may have run"), next.words());
+        }
+        assertFalse(Fate.mayRun(ran(25, 0), ONCE, 20_000));
+        assertTrue(Fate.mayRun(record("j", "q", 25, 0), ONCE, 20_000), "what never ran may");
+    }
+
+    @Test
+    void aReplyKeyHoldsOnlyWithinItsWindowAndWhereItIsKnownEverywhere() {
+        assertTrue(Fate.mayRun(ran(1, 0), KEYED, 49_999));
+        assertFalse(Fate.mayRun(ran(1, 0), KEYED, 50_000), "40 s after the first run at 10 s");
+        assertFalse(Fate.mayRun(ran(1, 0), BY_ZONE, 10_001), "a new hand-over may lead to another zone");
+        assertEquals(State.DEAD, fail(ran(5, 0), BY_ZONE).state());
+        JobRecord late = ran(5, 0);
+        assertEquals(State.DEAD, Fate.failed(late, KEYED, BROKEN, 45_000, random).state());
+    }
+
+    @Test
+    void aStartTellsApartWhatRanAndWhatDidNot() {
+        JobRecord waits = record("j", "q", 25, 0);
+        assertEquals(Fate.Recovery.PLACE, Fate.recovered(waits, ONCE, 5_000));
+        assertEquals(Fate.Recovery.AWAIT_WORD, Fate.recovered(ran(25, 0), SAFE, 5_000), "its worker may be at it");
+        assertEquals(Fate.Recovery.AWAIT_WORD, Fate.recovered(ran(25, 90_000), ONCE, 5_000));
+        assertEquals(Fate.Recovery.HAND_OVER, Fate.recovered(ran(25, 90_000), SAFE, 5_000), "somebody waits for it");
+        assertEquals(Fate.Recovery.HAND_OVER, Fate.recovered(record("j", "q", 25, 90_000), ONCE, 5_000));
+        assertEquals(Fate.Recovery.OUT_OF_TIME, Fate.recovered(record("j", "q", 25, 90_000), ONCE, 90_000));
+        JobRecord back = ran(25, 90_000).handedBack(true, 11_000);
+        assertEquals(Fate.Recovery.AWAIT_WORD, Fate.recovered(back, ONCE, 20_000), "queued again, but it had run");
+        assertEquals(Fate.Recovery.HAND_OVER, Fate.recovered(ran(25, 90_000).handedBack(false, 11_000), ONCE, 20_000));
+        for (State state : List.of(State.DEAD, State.RETRY, State.SCHEDULED)) {
+            assertEquals(Fate.Recovery.PLACE, Fate.recovered(ran(1, 0).to(state, 9, "", 9), ONCE, 5_000));
+        }
+        assertEquals(70_000, Fate.wordUntilMs(ran(25, 0)), "its reservation's end");
+        assertEquals(15_000, Fate.wordUntilMs(ran(25, 15_000)), "or its deadline, if that is earlier");
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonslip/faktory/sets/LedgerTest.java
@@ -0,0 +1,213 @@
+package damsonslip.faktory.sets;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.faktory.sets.Ledger.Entry;
+import damsonslip.store.JobRecord;
+import damsonslip.store.JobRecord.Facts;
+import damsonslip.store.JobRecord.State;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Where jobs are, in which order they come, and what may come in. */
+class LedgerTest {
+    private final Ledger ledger = new Ledger(2, new Ledger.Limits(50, 20, 3, 1_000));
+
+    private Entry add(String id, String queue, int jobClass) {
+        return ledger.add(FateTest.record(id, queue, 5, 0).numbered(ledger.nextSeq()), jobClass);
+    }
+
+    private String next(boolean fair, String... queues) {
+        Entry entry = ledger.next(List.of(queues), fair, 0, jobClass -> true);
+        if (entry == null) {
+            return null;
+        }
+        ledger.handOver(entry);
+        return entry.id();
+    }
+
+    @Test
+    void aFetchsOwnOrderHoldsAndWithinAQueueArrival() {
+        add("a1", "a", 0);
+        add("b1", "b", 1);
+        add("a2", "a", 1);
+        assertEquals("b1", next(false, "b", "a"));
+        assertEquals("a1", next(false, "b", "a"));
+        assertEquals("a2", next(false, "a"));
+        assertNull(next(false, "a", "b", "c"));
+    }
+
+    @Test
+    void fairQueuesTakeTurnsHoweverFullOneIs() {
+        for (int i = 0; i < 10; i++) {
+            add("a" + i, "a", 0);
+        }
+        add("b0", "b", 0);
+        add("c0", "c", 0);
+        List<String> came = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            came.add(next(true, "a", "b", "c"));
+        }
+        assertEquals(List.of("a0", "b0", "c0", "a1", "a2"), came);
+    }
+
+    @Test
+    void aJobThatComesBackFindsItsPlaceAndWaitsItsTime() {
+        add("a1", "a", 0);
+        add("a2", "a", 0);
+        Entry first = ledger.get("a1");
+        ledger.handOver(first);
+        ledger.comesBack(first, 500);
+        assertNull(ledger.next(List.of("a"), false, 499, c -> true), "the order holds while the first may not go");
+        assertEquals("a1", ledger.next(List.of("a"), false, 500, c -> true).id());
+        assertNull(ledger.next(List.of("a"), false, 500, c -> false), "nothing of a class that is not open");
+        ledger.pause("a");
+        assertNull(ledger.next(List.of("a"), false, 500, c -> true));
+    }
+
+    @Test
+    void aHigherPriorityComesFirst() {
+        Facts low = new Facts("a", "t", "any", 1, 5, 1, 1, 0, 0, "", "", "", 0, false, 0);
+        Facts high = new Facts("a", "t", "any", 9, 5, 1, 1, 0, 0, "", "", "", 0, false, 0);
+        ledger.add(JobRecord.pushed("low", low, 0, 0).numbered(ledger.nextSeq()), 0);
+        ledger.add(JobRecord.pushed("high", high, 0, 0).numbered(ledger.nextSeq()), 1);
+        assertEquals("high", next(false, "a"));
+        assertEquals("low", next(false, "a"));
+    }
+
+    @Test
+    void limitsHoldForAllAndForOneQueueAndTheDeadDoNotCount() {
+        for (int i = 0; i < 20; i++) {
+            assertNull(ledger.full("a"));
+            add("a" + i, "a", 0);
+        }
+        assertTrue(ledger.full("a").contains("queue a"));
+        for (int i = 0; i < 30; i++) {
+            assertNull(ledger.full("b" + i % 2));
+            add("b" + i, "b" + i % 2, 0);
+        }
+        assertTrue(ledger.full("c").contains("too many"));
+        Entry gone = ledger.get("a0");
+        ledger.move(gone, gone.record().to(State.DEAD, 10, "", 10));
+        assertNull(ledger.full("a"));
+    }
+
+    @Test
+    void theDeadAreKeptForAWhileAndToANumber() {
+        for (int i = 0; i < 5; i++) {
+            Entry entry = add("d" + i, "a", 0);
+            ledger.move(entry, entry.record().to(State.DEAD, 100 + i, "", 0));
+        }
+        assertEquals(List.of("d0", "d1"), ledger.deadTooLong(200).stream().map(Entry::id).toList(), "three are kept");
+        assertEquals(4, ledger.deadTooLong(1_103).size(), "for a second");
+        assertEquals(5, ledger.size(State.DEAD));
+    }
+
+    @Test
+    void whatIsDueComesEarliestFirstAndNotAllAtOnce() {
+        for (int i = 0; i < 10; i++) {
+            Entry entry = add("s" + i, "a", 0);
+            ledger.move(entry, entry.record().to(State.SCHEDULED, 1_000 - i, "", 0));
+        }
+        assertEquals(0, ledger.due(990, 5).size());
+        assertEquals(List.of("s9", "s8", "s7"), ledger.due(1_000, 3).stream().map(Entry::id).toList());
+    }
+
+    @Test
+    void aLockHoldsUntilItsJobEndsItsTimeEndsOrItStarts() {
+        Facts facts = new Facts("a", "t", "any", 5, 5, 1, 1, 0, 0, "", "", "key", 1_000, true, 0);
+        assertTrue(ledger.lock("one", facts, 0));
+        Entry one = ledger.add(JobRecord.pushed("one", facts, 0, 0), 0);
+        assertFalse(ledger.lock("two", facts, 999));
+        assertTrue(ledger.lock("one", facts, 999), "the same job once more");
+        ledger.move(one, one.record().reserved("w", 5));
+        assertTrue(ledger.lock("two", facts, 999), "it holds only until the start");
+        ledger.remove(one);
+        assertFalse(ledger.lock("three", facts, 999), "the end of the first does not free what the second has");
+        assertTrue(ledger.lock("three", facts, 1_000), "its time is over");
+    }
+
+    @Test
+    void theSameJobIsNotHereTwice() {
+        add("a1", "a", 0);
+        assertThrows(IllegalArgumentException.class, () -> add("a1", "a", 0));
+    }
+
+    /** A walk of many random moves against plain counting: sizes, lanes and tallies never come apart. */
+    @Test
+    void itsCountsStayTrueThroughManyRandomMoves() {
+        SplittableRandom random = new SplittableRandom(7);
+        Ledger large = new Ledger(3, new Ledger.Limits(1_000_000, 1_000_000, 1_000_000, Long.MAX_VALUE / 2));
+        Map<String, Entry> here = new HashMap<>();
+        int ids = 0;
+        for (int step = 0; step < 20_000; step++) {
+            if (here.size() < 40 || random.nextInt(3) == 0) {
+                String id = "j" + ids++;
+                JobRecord fresh = FateTest.record(id, "q" + random.nextInt(4), 5, 0).numbered(large.nextSeq());
+                here.put(id, large.add(fresh, random.nextInt(3)));
+            } else {
+                change(large, here, new ArrayList<>(here.values()).get(random.nextInt(here.size())), random);
+            }
+            if (step % 500 == 0) {
+                agree(large, here);
+            }
+        }
+        agree(large, here);
+    }
+
+    private static void change(Ledger large, Map<String, Entry> here, Entry entry, SplittableRandom random) {
+        boolean queued = entry.record().state() == State.QUEUED;
+        switch (random.nextInt(6)) {
+            case 0 -> {
+                large.remove(entry);
+                here.remove(entry.id());
+            }
+            case 1 -> large.move(entry, entry.record().to(State.RETRY, random.nextInt(1_000), "", 0));
+            case 2 -> large.move(entry, entry.record().to(State.DEAD, random.nextInt(1_000), "", 0));
+            case 3 -> {
+                if (queued && !entry.handed()) {
+                    large.handOver(entry);
+                } else if (entry.handed()) {
+                    large.comesBack(entry, 0);
+                }
+            }
+            case 4 -> large.move(entry, entry.record().queued(large.nextSeq(), 0));
+            default -> large.move(entry, entry.record().reserved("w", 1));
+        }
+    }
+
+    private static void agree(Ledger large, Map<String, Entry> here) {
+        assertEquals(here.size(), large.size());
+        for (State state : List.of(State.QUEUED, State.RESERVED, State.RETRY, State.DEAD, State.SCHEDULED)) {
+            assertEquals(here.values().stream().filter(e -> e.record().state() == state).count(), large.size(state));
+        }
+        assertEquals(here.values().stream().filter(Entry::handed).count(), large.handed());
+        for (int queue = 0; queue < 4; queue++) {
+            String name = "q" + queue;
+            List<Entry> waiting = here.values().stream().filter(e -> e.record().state() == State.QUEUED && !e.handed()
+                && e.record().facts().queue().equals(name)).toList();
+            assertEquals(waiting.size(), large.inQueue(name).size());
+            Entry next = large.next(List.of(name), false, 0, c -> true);
+            assertEquals(waiting.stream().mapToLong(e -> e.record().seq()).min().orElse(-1),
+                next == null ? -1 : next.record().seq());
+        }
+    }
+
+    @Test
+    void aRecordComesBackFromItsTextAsItWas() throws Exception {
+        JobRecord record = FateTest.record("j", "q", -1, 99).numbered(7).reserved("w", 3)
+            .failed(new JobRecord.Failure(2, 5, "E", "m\n", List.of("x"))).to(State.RETRY, 8, "why", 9);
+        assertEquals(record, JobRecord.decode(record.encode()));
+        assertEquals(FateTest.record("j", "q", 0, 0), JobRecord.decode(FateTest.record("j", "q", 0, 0).encode()));
+        assertNotNull(assertThrows(damsonslip.store.StoreException.class, () -> JobRecord.decode("{}")).getMessage());
+    }
+}
--- a/src/test/java/damsonslip/kit/FaktoryPeer.java
+++ b/src/test/java/damsonslip/kit/FaktoryPeer.java
@@ -64,6 +64,41 @@
         return job == null ? null : JSON.readTree(job).path("jid").asText();
     }
 
+    /** Pushes a job that nobody waits for. */
+    public String plain(String jid, String more) throws IOException {
+        return call("PUSH {\"jid\":\"" + jid + "\",\"jobtype\":\"t\",\"args\":[1]" + more + "}");
+    }
+
+    /** Waits for a job from a queue up to this long; gives its id, or null. */
+    public String fetch(String queue, long patienceMs) throws IOException {
+        long end = System.nanoTime() + patienceMs * 1_000_000;
+        String job;
+        do {
+            job = call("FETCH " + queue);
+        } while (job == null && System.nanoTime() < end);
+        return job == null ? null : JSON.readTree(job).path("jid").asText();
+    }
+
+    /** The size of one of the sets of INFO. */
+    public int size(String set) throws IOException {
+        return info().path("faktory").path("tasks").path(set).path("size").asInt(-1);
+    }
+
+    /** What is told of a job. */
+    public JsonNode track(String jid) throws IOException {
+        return JSON.readTree(call("TRACK GET " + jid));
+    }
+
+    public String mutate(String verb, String target, String... jids) throws IOException {
+        return call("MUTATE {\"cmd\":\"" + verb + "\",\"target\":\"" + target + "\",\"filter\":{\"jids\":[\""
+            + String.join("\",\"", jids) + "\"]}}");
+    }
+
+    /** The connection itself, for what is not in order. */
+    public Peer peer() {
+        return peer;
+    }
+
     public String ack(String jid) throws IOException {
         return call("ACK {\"jid\":\"" + jid + "\"}");
     }
--- a/src/test/java/damsonslip/kit/Program.java
+++ b/src/test/java/damsonslip/kit/Program.java
@@ -82,7 +82,11 @@
 
     /** Waits for its exit. */
     public int exit() throws InterruptedException {
-        if (!process.waitFor(20, TimeUnit.SECONDS)) {
+        return exit(20);
+    }
+
+    public int exit(long seconds) throws InterruptedException {
+        if (!process.waitFor(seconds, TimeUnit.SECONDS)) {
             throw new AssertionError("still running: " + said());
         }
         reader.join();
--- a/src/test/java/damsonslip/kit/RedisStandIn.java
+++ b/src/test/java/damsonslip/kit/RedisStandIn.java
@@ -8,14 +8,63 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Predicate;
 
-/** As much of a Redis server as the store uses, from the public protocol; it can be taken down and brought back. */
+/**
+ * As much of a Redis server as the store uses, from the public protocol. It can be taken down and brought back, stall,
+ * answer errors, and be set a trap: what happens to the next command that fits.
+ */
 public final class RedisStandIn implements AutoCloseable {
     public final int port = Program.freePort();
     private final Map<String, String> texts = new TreeMap<>();
     private final Map<String, Set<String>> sets = new TreeMap<>();
     private final Map<String, Map<String, String>> hashes = new TreeMap<>();
     private Peer.Server server;
+    private volatile Trap trap;
+    private volatile boolean errors;
+    private volatile long stalledUntil;
+
+    /** What a trap does with the command that it catches; the first two leave the peer without an answer. */
+    public enum Then { HOLD_UNDONE, DO_AND_HOLD, DO_AND_HANG_UP }
+
+    private record Trap(Predicate<List<String>> fits, Then then, CountDownLatch sprung) { }
+
+    /** Sets a trap; the latch tells when it was sprung. */
+    public CountDownLatch trap(Predicate<List<String>> fits, Then then) {
+        CountDownLatch sprung = new CountDownLatch(1);
+        trap = new Trap(fits, then, sprung);
+        return sprung;
+    }
+
+    /** From now on every command is answered with an error, or no longer. */
+    public void errors(boolean on) {
+        errors = on;
+    }
+
+    /** Nothing is done or answered for this long. */
+    public void stall(long ms) {
+        stalledUntil = System.nanoTime() + ms * 1_000_000;
+    }
+
+    private boolean caught(List<String> words) throws IOException, InterruptedException {
+        while (System.nanoTime() < stalledUntil) {
+            Thread.sleep(10);
+        }
+        Trap set = trap;
+        if (set == null || !set.fits().test(words)) {
+            return false;
+        }
+        trap = null;
+        if (set.then() != Then.HOLD_UNDONE) {
+            answer(words);
+        }
+        set.sprung().countDown();
+        if (set.then() != Then.DO_AND_HANG_UP) {
+            Thread.sleep(60_000);
+        }
+        return true;
+    }
 
     public RedisStandIn() throws IOException {
         up();
@@ -33,7 +82,10 @@
                     words.add(peer.bytes(Integer.parseInt(peer.line().substring(1))));
                     peer.line();
                 }
-                peer.send(answer(words));
+                if (caught(words)) {
+                    return;
+                }
+                peer.send(errors ? "-ERR this stand-in was told to fail\r\n" : answer(words));
             }
         });
     }
