Faktory: short jobs are no measure of a worker's pace; a slot is free once it fetches again

Causes, by the counters and the module's state: a cold worker is charged 3 ms a job, which 2 s of budget soon spend; the load report that went with each ACK told of a slot as free before its worker fetched again; jobs of 0.2 ms that took 2 ms by chance made the only worker 'slow', so that jobs waited 120 ms until they were pressed. Change: a cold share of 1 means that no worker is cold; no report goes with an ACK; below 5 ms a job's time tells nothing of its worker's pace (Known.NOISE_US).

--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -23,6 +23,8 @@
     /** The same in a worker's mean time of a class, which counts once a few are seen. */
     private static final double WORKER_WEIGHT = 0.1;
     private static final int FEW = 3;
+    /** Jobs shorter than this tell nothing of a pace: the network and a machine's own pauses take as long. */
+    private static final double NOISE_US = 5e3;
     /** A worker's pace is forgotten over about this long. */
     private static final double PACE_US = 8e6;
 
@@ -224,7 +226,7 @@
             timed++;
             median *= 1 + Math.max(0.02, 1.0 / timed) * (took > median ? 0.5 : -0.5);
             time += Math.max(TIME_WEIGHT, 1.0 / timed) * (took - time);
-            return means.length == 0 ? 1 : took / means[means.length / 4];
+            return means.length == 0 ? 1 : Math.max(took, NOISE_US) / Math.max(means[means.length / 4], NOISE_US);
         }
     }
 }
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -722,7 +722,7 @@
     }
 
     private boolean cold(Worker w) {
-        return w.started != Long.MIN_VALUE && now - w.started < rules.coldUs();
+        return rules.coldShare() < 1 && w.started != Long.MIN_VALUE && now - w.started < rules.coldUs();
     }
 
     private void spendCold(Worker w, double cost) {
--- a/src/main/java/damsonslip/faktory/Consumers.java
+++ b/src/main/java/damsonslip/faktory/Consumers.java
@@ -311,7 +311,7 @@
         consumer.expected.add(execution);
         loop.in(OFFER_US, () -> {
             if (consumer.expected.remove(execution)) {
-                driver.ended(execution, new Execution.End(Outcome.FULL, load(consumer), null));
+                driver.ended(execution, Execution.End.of(Outcome.FULL));
             }
         });
     }
@@ -398,7 +398,8 @@
     private void end(Reservation held, Outcome outcome) {
         held.lapse.cancel();
         if (release(held)) {
-            driver.ended(held.execution, new Execution.End(outcome, load(held.consumer), ""));
+            // no report goes with it: the slot is free once its worker fetches again, and not before
+            driver.ended(held.execution, new Execution.End(outcome, null, ""));
         }
     }
 
