Ask for workers that fit only where a job is choosy about them

Need: each refusal on the platform walked its pool to find that every worker fits, which is so by definition there. Change: a query without a choice of workers (Dispatch.JobArrived.fits null) skips the walk, and behaves just as before.

--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -591,7 +591,7 @@
 
     /** A worker of another pool that is mostly free, or of any if none of the own can ever take the job. */
     private Worker borrow(Pool pool, Job job) {
-        boolean foreign = pool.members.stream().noneMatch(w -> job.ask.fits(w.id));
+        boolean foreign = job.ask.fits() != null && pool.members.stream().noneMatch(w -> job.ask.fits(w.id));
         for (Pool other : pools) {
             if (other != pool && (foreign || other.hold.isEmpty() && other.freeShare >= SPARE)) {
                 Worker w = choose(other, job, true);
