--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The few things that are done with this repository.
-.PHONY: build test lint run faktory console clean
+.PHONY: build test lint run faktory console conformance bench-faktory clean
 
 build:      ## the jar, without tests, and the archive of its classes that makes starts short
 	mvn -q -B -ntp -DskipTests package
@@ -20,5 +20,12 @@
 console:    ## the terminal console of a running scheduler
 	java -jar target/damsonslip.jar console
 
+SERVER = 127.0.0.1:7419
+conformance: ## plays the protocol's cases against a running Faktory server: make conformance SERVER=127.0.0.1:7419
+	java -jar target/damsonslip.jar conformance $(SERVER)
+
+bench-faktory: build ## rates and times of the Faktory front by connections and store; two minutes, machine to itself
+	bench/faktory.sh 10000
+
 clean:
 	mvn -q -B -ntp clean
--- a/src/main/java/damsonslip/faktory/codec/JobText.java
+++ b/src/main/java/damsonslip/faktory/codec/JobText.java
@@ -24,8 +24,8 @@
             ObjectNode how = added.putObject("failure").put("retry_count", failure.count())
                 .put("remaining", Math.max(0, record.facts().retry() - failure.count()))
                 .put("failed_at", Json.time(failure.failedMs()));
-            if (record.dueMs() > 0) {
-                how.put("next_at", Json.time(record.dueMs()));
+            if (failure.nextMs() > 0) {
+                how.put("next_at", Json.time(failure.nextMs()));
             }
             how.put("errtype", failure.type()).put("message", failure.message());
             failure.backtrace().forEach(how.withArray("backtrace")::add);
--- a/src/main/java/damsonslip/faktory/sets/Fate.java
+++ b/src/main/java/damsonslip/faktory/sets/Fate.java
@@ -63,8 +63,7 @@
     public static Next failed(JobRecord record, JobClass of, Words how, long nowMs, SplittableRandom random) {
         int retry = record.facts().retry();
         int count = record.failure() == null ? 0 : record.failure().count() + 1;
-        Failure failure = new Failure(count, nowMs, how.type(), how.message(),
-            how.backtrace().subList(0, Math.min(how.backtrace().size(), record.facts().backtrace())));
+        Failure failure = failure(count, nowMs, 0, how, record.facts().backtrace());
         String said = how.type() + ": " + how.message();
         if (of.effect() == Effect.UNSAFE) {
             return new Next(State.DEAD, nowMs, failure, "it may have run and its class must not run twice; " + said);
@@ -80,7 +79,12 @@
             return new Next(State.DEAD, nowMs, failure,
                 "it may have run, and a retry would come after its key's window; " + said);
         }
-        return new Next(State.RETRY, at, failure, said);
+        return new Next(State.RETRY, at, failure(count, nowMs, at, how, record.facts().backtrace()), said);
+    }
+
+    private static Failure failure(int count, long nowMs, long nextMs, Words how, int backtrace) {
+        return new Failure(count, nowMs, nextMs, how.type(), how.message(),
+            how.backtrace().subList(0, Math.min(how.backtrace().size(), backtrace)));
     }
 
     /** How a run failed, in words. */
--- a/src/main/java/damsonslip/store/JobRecord.java
+++ b/src/main/java/damsonslip/store/JobRecord.java
@@ -90,11 +90,12 @@
      *
      * @param count     how often it was tried again so far
      * @param failedMs  when it failed last, in Unix time
+     * @param nextMs    when it was to be tried again, in Unix time; 0 if it was not
      * @param type      what kind of error, in the worker's words
      * @param message   which error
      * @param backtrace where, as far as the job asked for it
      */
-    public record Failure(int count, long failedMs, String type, String message, List<String> backtrace) {
+    public record Failure(int count, long failedMs, long nextMs, String type, String message, List<String> backtrace) {
         public Failure {
             type = type == null ? "" : type;
             message = message == null ? "" : message;
--- a/src/main/java/damsonslip/store/RedisStore.java
+++ b/src/main/java/damsonslip/store/RedisStore.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import redis.clients.jedis.AbstractPipeline;
 import redis.clients.jedis.DefaultJedisClientConfig;
 import redis.clients.jedis.HostAndPort;
@@ -21,7 +23,9 @@
  * journey to and fro for each job was what bounded the jobs a second.
  */
 public final class RedisStore implements JobStore {
+    private static final Logger LOG = LoggerFactory.getLogger(RedisStore.class);
     private static final String PREFIX = "damsonslip:";
+    private static final char OWNER = '\n';
     /** A store on the same network answers within a few milliseconds; past this it counts as down. */
     private static final int TIMEOUT_MS = 500;
     /** A job that is over is remembered this long, so that a repeated push finds it. */
@@ -96,7 +100,7 @@
             };
         } else if (op instanceof Op.Get get) {
             Response<String> text = line.get(key(get.id()));
-            return () -> text.get() == null ? null : JobRecord.decode(text.get());
+            return () -> text.get() == null ? null : decode(text.get());
         } else if (op instanceof Op.Bodies bodies) {
             return many(line, bodies.ids(), RedisStore::body)::get;
         } else if (op instanceof Op.Drop drop) {
@@ -136,26 +140,26 @@
     private Result add(AbstractPipeline line, JobRecord record, String body) {
         Response<Long> listed = line.sadd(open, record.id());
         Response<String> text = line.set(body(record.id()), body, SetParams.setParams().nx());
-        Response<String> fresh = line.set(key(record.id()), record.encode(), SetParams.setParams().nx());
+        Response<String> fresh = line.set(key(record.id()), encode(record), SetParams.setParams().nx());
         Response<String> there = line.get(key(record.id()));
         return () -> {
             listed.get();
             text.get();
-            return fresh.get() != null || there.get() == null ? null : JobRecord.decode(there.get());
+            return fresh.get() != null || there.get() == null ? null : decode(there.get());
         };
     }
 
     private List<Response<?>> put(AbstractPipeline line, JobRecord record) {
         List<Response<?>> done = new ArrayList<>(3);
         if (record.state().isFinal()) {
-            done.add(line.set(key(record.id()), record.encode(), SetParams.setParams().ex(KEEP_OVER_S)));
+            done.add(line.set(key(record.id()), encode(record), SetParams.setParams().ex(KEEP_OVER_S)));
             done.add(line.del(body(record.id())));
             done.add(line.srem(open, record.id()));
         } else {
             if (record.state() != JobRecord.State.RESERVED) { // what is reserved was listed when it was taken in
                 done.add(line.sadd(open, record.id()));
             }
-            done.add(line.set(key(record.id()), record.encode()));
+            done.add(line.set(key(record.id()), encode(record)));
         }
         return done;
     }
@@ -175,7 +179,7 @@
         return () -> {
             List<JobRecord> found = new ArrayList<>();
             for (String text : texts.get()) {
-                JobRecord record = text == null ? null : JobRecord.decode(text);
+                JobRecord record = text == null || !text.startsWith(scheduler + OWNER) ? null : readable(text);
                 if (record != null && !record.state().isFinal()) {
                     found.add(record);
                 }
@@ -184,6 +188,28 @@
         };
     }
 
+    /** One record that cannot be read must not keep all others from being taken up. */
+    private static JobRecord readable(String text) {
+        try {
+            return decode(text);
+        } catch (StoreException e) {
+            LOG.warn("left in the store: {}", e.getMessage());
+            return null;
+        }
+    }
+
+    /**
+     * A record stands behind the name of the scheduler that took the job in. Guards against a second one that has the
+     * same id pushed to it, lists it before it knows, and would take the job up at its next start.
+     */
+    private String encode(JobRecord record) {
+        return scheduler + OWNER + record.encode();
+    }
+
+    private static JobRecord decode(String text) throws StoreException {
+        return JobRecord.decode(text.substring(text.indexOf(OWNER) + 1));
+    }
+
     private static Response<List<String>> many(AbstractPipeline line, List<String> ids,
                                                java.util.function.UnaryOperator<String> key) {
         return line.mget(ids.stream().map(key).toArray(String[]::new));
--- /dev/null
+++ b/src/test/java/damsonslip/FetchingWorkersTest.java
@@ -0,0 +1,119 @@
+package damsonslip;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.Dispatch.Action;
+import damsonslip.Dispatch.AttemptEnded;
+import damsonslip.Dispatch.Effect;
+import damsonslip.Dispatch.Group;
+import damsonslip.Dispatch.JobArrived;
+import damsonslip.Dispatch.Outcome;
+import damsonslip.Dispatch.ProbeEnded;
+import damsonslip.Dispatch.Report;
+import damsonslip.Dispatch.Send;
+import damsonslip.Dispatch.WorkerState;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+import org.junit.jupiter.api.Test;
+
+/** What the module makes of workers that offer their slots by themselves, and of jobs that not all of them take. */
+class FetchingWorkersTest {
+    private static Script script() {
+        return new Script(Script.settings(1, 0, Script.jobClass(Effect.SAFE, Group.ALL),
+            Script.jobClass(Effect.UNSAFE, Group.ALL)));
+    }
+
+    private static List<String> send(Script script, String id, Predicate<String> fits) {
+        return sent(script.give(new JobArrived(id, 0, 0, null, script.now + 10 * Script.SECOND, 1, 0, 1, fits)));
+    }
+
+    private static List<String> sent(List<Action> actions) {
+        List<String> workers = new ArrayList<>();
+        actions.stream().filter(Send.class::isInstance).forEach(action -> workers.add(((Send) action).worker()));
+        return workers;
+    }
+
+    private static void offers(Script script, String worker, int free, int slots) {
+        script.give(new ProbeEnded(worker, true, new Report(free, Double.NaN, slots - free, slots)));
+    }
+
+    private static void ended(Script script, String id, Outcome outcome) {
+        script.give(new AttemptEnded(id, 0, outcome, outcome == Outcome.SERVED, null));
+    }
+
+    @Test
+    void aJobGoesOnlyToAWorkerThatFitsEvenIfNoneOfItsOwnPoolDoes() {
+        Script script = script().workers(4);
+        for (int i = 0; i < 4; i++) {
+            String only = "w" + i;
+            List<String> went = new ArrayList<>(send(script, "j" + i, only::equals));
+            went.addAll(sent(script.pass(3 * Script.SECOND)));
+            assertEquals(List.of(only), went, "whichever pool that worker is in");
+            ended(script, "j" + i, Outcome.SERVED);
+        }
+    }
+
+    @Test
+    void aWorkerIsAsLargeAsItSays() {
+        Script script = script().workers(1);
+        offers(script, "w0", 20, 20);
+        int went = 0;
+        for (int i = 0; i < 20; i++) {
+            went += send(script, "j" + i, null).size();
+        }
+        assertEquals(20, went, "though nothing of its kind was ever seen before");
+        WorkerState state = script.rules.workers(script.now).get(0);
+        assertEquals(0, state.free(), 0.01);
+        ended(script, "j0", Outcome.SERVED);
+        assertEquals(0, script.rules.workers(script.now).get(0).free(), 0.01, "its slot is free once it is offered");
+        offers(script, "w0", 1, 20);
+        assertEquals(1, script.rules.workers(script.now).get(0).free(), 0.01);
+    }
+
+    @Test
+    void aWorkerWithOneLongJobIsNotSilentWhileItOffersSlots() {
+        Script script = script().workers(1);
+        offers(script, "w0", 2, 2);
+        assertEquals(1, send(script, "long", null).size());
+        script.started("long", 0);
+        script.pass(60 * Script.SECOND / 10);
+        offers(script, "w0", 1, 2);
+        assertEquals(List.of("w0"), send(script, "next", null), "it asked for another");
+    }
+
+    @Test
+    void aFailedJobIsNotAFailingWorkerButSeveralInARowAre() {
+        Script script = script().workers(1);
+        offers(script, "w0", 4, 4);
+        for (int i = 0; i < 3; i++) {
+            send(script, "f" + i, null);
+            ended(script, "f" + i, Outcome.ERROR);
+            assertTrue(!script.rules.workers(script.now).get(0).paused(), "after " + (i + 1));
+            offers(script, "w0", 4, 4);
+        }
+        send(script, "good", null);
+        ended(script, "good", Outcome.SERVED);
+        for (int i = 0; i < 4; i++) {
+            assertTrue(!script.rules.workers(script.now).get(0).paused(), "what was done between counts");
+            offers(script, "w0", 4, 4);
+            send(script, "g" + i, null);
+            ended(script, "g" + i, Outcome.ERROR);
+        }
+        assertTrue(script.rules.workers(script.now).get(0).paused(), "four with nothing done between");
+    }
+
+    @Test
+    void chanceInVeryShortJobsDoesNotMakeAWorkerSlow() {
+        Script script = script().workers(1);
+        offers(script, "w0", 4, 4);
+        for (int i = 0; i < 40; i++) {
+            send(script, "q" + i, null);
+            script.now += i % 4 == 0 ? 4_000 : 200; // now and then twenty times as long as usual
+            ended(script, "q" + i, Outcome.SERVED);
+            offers(script, "w0", 4, 4);
+        }
+        assertEquals(List.of("w0"), send(script, "last", null), "at once");
+    }
+}
--- a/src/test/java/damsonslip/faktory/FaktoryTest.java
+++ b/src/test/java/damsonslip/faktory/FaktoryTest.java
@@ -99,6 +99,47 @@
         assertEquals("+OK", producer.push("job-00003", "status-read", 1, ""), "and the connection goes on");
     }
 
+    /** Each is refused and its connection ended; a plain client does not notice. */
+    @Test
+    void wrongPasswordsInALoopCostNobodyElse() throws Exception {
+        FaktoryPeer producer = producer();
+        for (int i = 0; i < 300; i++) {
+            int tried = i;
+            IOException refused =
+                assertThrows(IOException.class, () -> new FaktoryPeer(port, "", "wrong" + tried).close());
+            assertEquals("-ERR invalid password", refused.getMessage());
+        }
+        long from = System.nanoTime();
+        assertEquals("+OK", producer.push("job-00001", "status-read", 4, ""));
+        assertTrue(System.nanoTime() - from < 500_000_000L);
+        assertEquals(300, producer.info().path("counters").path("passwords_wrong").asInt());
+        Program.await("their connections are gone", () -> {
+            try {
+                return producer.info().path("server").path("connections").asInt() <= 2;
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        });
+    }
+
+    /** A worker is chosen among those that fetch a job's queue, though the module's pools know nothing of queues. */
+    @Test
+    void aJobGoesOnlyWhereItsQueueIsFetched() throws Exception {
+        FaktoryPeer producer = producer();
+        List<FaktoryPeer> others = new ArrayList<>();
+        for (int i = 0; i < 6; i++) { // so many that each class's pool holds some of these
+            others.add(peer("other" + i));
+            others.get(i).peer().send("FETCH elsewhere\r\n");
+        }
+        FaktoryPeer fits = peer("fits");
+        for (int i = 0; i < 5; i++) {
+            assertEquals("+OK", producer.push("job-0000" + i, "status-read", 4, ",\"queue\":\"here\""));
+            assertEquals("job-0000" + i, fits.fetch("here", 0), "at the first FETCH");
+            fits.ack("job-0000" + i);
+        }
+        assertEquals(5, producer.info().path("counters").path("executions_sent").asInt(), "nobody else was tried");
+    }
+
     /** The worker may be at it still: whatever the retry count says, nobody else may get the job. */
     @Test
     void anApplySubmitWhoseWorkerGoesSilentEndsFailedAndNeverRunsAgain() throws Exception {
--- a/src/test/java/damsonslip/faktory/HardCasesTest.java
+++ b/src/test/java/damsonslip/faktory/HardCasesTest.java
@@ -46,11 +46,17 @@
     }
 
     private void run() throws IOException {
-        String file = Files.readString(Path.of("deploy/faktory.toml")).replace("127.0.0.1:7419", "127.0.0.1:" + port)
+        program = run("school-desk", port);
+    }
+
+    private Program run(String name, int at) throws IOException {
+        String file = Files.readString(Path.of("deploy/faktory.toml")).replace("127.0.0.1:7419", "127.0.0.1:" + at)
             .replace("127.0.0.1:6379", "127.0.0.1:" + redis.port).replace("127.0.0.1:7420", "")
-            .replace("least_reserve_s = 60", "least_reserve_s = 1");
-        program = new Program(null, "serve", Program.file(dir, file).toString()).awaitWord("taken up from the store");
-        open.add(program);
+            .replace("least_reserve_s = 60", "least_reserve_s = 1").replace("\"school-desk\"", "\"" + name + "\"");
+        Program started = new Program(null, "serve", Program.file(dir, file).toString())
+            .awaitWord("taken up from the store");
+        open.add(started);
+        return started;
     }
 
     private void killAndRun() throws IOException, InterruptedException {
@@ -227,6 +233,36 @@
         assertEquals("success", producer.state("job-00001"));
     }
 
+    /** Pushed to two schedulers on one store, a job belongs to the first; the other does not take it up at a start. */
+    @Test
+    void theSameJobPushedToTwoSchedulersOnOneStoreRunsAtTheFirst() throws Exception {
+        int otherPort = Program.freePort();
+        Program second = run("other-desk", otherPort);
+        assertEquals("+OK", peer("").plain("job-once1", ONCE));
+        try (FaktoryPeer there = new FaktoryPeer(otherPort, "", "")) {
+            assertEquals("+OK", there.plain("job-once1", ONCE));
+        }
+        second.kill();
+        second.exit();
+        assertTrue(run("other-desk", otherPort).said().contains("0 jobs taken up"));
+        try (FaktoryPeer worker = new FaktoryPeer(otherPort, "w9", "")) {
+            assertNull(worker.fetch("q", 0));
+        }
+        assertEquals("job-once1", peer("w1").fetch("q", 2_000));
+    }
+
+    /** What an earlier version, or a hand, left in the store is told of and left there; the rest is taken up. */
+    @Test
+    void aRecordThatCannotBeReadKeepsNoOtherFromBeingTakenUp() throws Exception {
+        assertEquals("+OK", peer("").plain("job-00001", ",\"queue\":\"q\""));
+        assertEquals("+OK", peer("").plain("job-00002", ",\"queue\":\"q\""));
+        redis.put("damsonslip:job:job-00001", "school-desk\n{\"id\":\"job-00001\",\"state\":\"QUEUED\",\"job\":\"{}\"}");
+        killAndRun();
+        assertTrue(program.said().contains("1 jobs taken up"), program.said());
+        assertTrue(program.said().contains("left in the store"), program.said());
+        assertEquals("job-00002", peer("w1").fetch("q", 2_000));
+    }
+
     // ---- load
 
     /** Ten thousand jobs fall due in one second; status-read, which somebody waits for, keeps its wanted time. */
--- a/src/test/java/damsonslip/faktory/codec/CodecTest.java
+++ b/src/test/java/damsonslip/faktory/codec/CodecTest.java
@@ -75,9 +75,11 @@
         assertEquals("1970-01-01T00:00:01Z", plain.path("enqueued_at").asText());
         assertTrue(plain.path("failure").isMissingNode());
         JsonNode failed = Json.read(JobText.whole(pushed.body(),
-            record.failed(new JobRecord.Failure(3, 2_000, "E\"", "m", java.util.List.of("x"))), 1_000)).path("failure");
+            record.failed(new JobRecord.Failure(3, 2_000, 7_000, "E\"", "m", java.util.List.of("x"))), 1_000))
+            .path("failure");
         assertEquals(3, failed.path("retry_count").asInt());
         assertEquals(22, failed.path("remaining").asInt());
+        assertEquals("1970-01-01T00:00:07Z", failed.path("next_at").asText());
         assertEquals("E\"", failed.path("errtype").asText());
         assertEquals("x", failed.path("backtrace").path(0).asText());
     }
--- a/src/test/java/damsonslip/faktory/sets/BatchesTest.java
+++ b/src/test/java/damsonslip/faktory/sets/BatchesTest.java
@@ -34,7 +34,7 @@
     }
 
     private void fail(Entry entry, State state) {
-        ledger.move(entry, entry.record().failed(new JobRecord.Failure(0, 1, "E", "m", List.of())).to(state, 9, "", 9));
+        ledger.move(entry, entry.record().failed(new JobRecord.Failure(0, 1, 0, "E", "m", List.of())).to(state, 9, "", 9));
     }
 
     @Test
--- a/src/test/java/damsonslip/faktory/sets/LedgerTest.java
+++ b/src/test/java/damsonslip/faktory/sets/LedgerTest.java
@@ -205,7 +205,7 @@
     @Test
     void aRecordComesBackFromItsTextAsItWas() throws Exception {
         JobRecord record = FateTest.record("j", "q", -1, 99).numbered(7).reserved("w", 3)
-            .failed(new JobRecord.Failure(2, 5, "E", "m\n", List.of("x"))).to(State.RETRY, 8, "why", 9);
+            .failed(new JobRecord.Failure(2, 5, 6, "E", "m\n", List.of("x"))).to(State.RETRY, 8, "why", 9);
         assertEquals(record, JobRecord.decode(record.encode()));
         assertEquals(FateTest.record("j", "q", 0, 0), JobRecord.decode(FateTest.record("j", "q", 0, 0).encode()));
         assertNotNull(assertThrows(damsonslip.store.StoreException.class, () -> JobRecord.decode("{}")).getMessage());
--- a/src/test/java/damsonslip/kit/RedisStandIn.java
+++ b/src/test/java/damsonslip/kit/RedisStandIn.java
@@ -37,6 +37,11 @@
         return sprung;
     }
 
+    /** Puts a text there, past the protocol. */
+    public synchronized void put(String key, String text) {
+        texts.put(key, text);
+    }
+
     /** From now on every command is answered with an error, or no longer. */
     public void errors(boolean on) {
         errors = on;
