Let slow Faktory peers go, and give each link one command in a turn of the loop

Observed: a link that had sent more than 8 KB ahead of its replies stood still for ever (Link.again showed a buffer read to its end as full; both fronts); a Faktory link answered all it had sent ahead in one turn where replies went out at once. Change: the buffer is cleared; one command a turn; a pure package pace holds a peer's patience (grace, least rate, bounded credit), by which senders of begun commands and readers of replies are let go, counted and logged ([peers]).

--- a/src/main/java/damsonslip/faktory/Faktory.java
+++ b/src/main/java/damsonslip/faktory/Faktory.java
@@ -16,6 +16,7 @@
 import damsonslip.net.Link;
 import damsonslip.net.Links;
 import damsonslip.net.Room;
+import damsonslip.pace.Pace;
 import damsonslip.settings.BadInput;
 import damsonslip.store.AsyncStore;
 import damsonslip.store.JobStore;
@@ -36,6 +37,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Faktory.class);
     private static final long LEAVING_US = 300_000;
     private static final long CONNECT_MS = 250;
+    /** Peers are looked at this often: a verdict comes this much late at the most. */
+    private static final long JUDGE_US = 500_000;
     /** A worker's words on a failure are kept up to these lengths: they stay in memory while the job waits. */
     private static final int LONGEST_TYPE = 256;
     private static final int LONGEST_WORDS = 2_048;
@@ -82,6 +85,7 @@
         this.operators = new Operators(loop, store, counters, desk, batches, consumers);
         consumers.begin(desk);
         batches.begin(producers);
+        loop.in(JUDGE_US, this::judge);
     }
 
     private static JobStore store(FaktoryConfig config) throws BadInput {
@@ -293,6 +297,21 @@
         return heldBytes;
     }
 
+    Pace.Limits peers() {
+        return config.peers();
+    }
+
+    private void judge() {
+        long now = loop.now();
+        List.copyOf(links.all()).forEach(link -> link.judge(now));
+        loop.in(JUDGE_US, this::judge);
+    }
+
+    void letGo(FaktoryLink link, Count why, String words) {
+        counters.add(why);
+        LOG.info("{} is let go: it {}", link.consumer() == null ? "a producer" : link.consumer().wid, words);
+    }
+
     int longestLine() {
         return config.longestLine();
     }
--- a/src/main/java/damsonslip/faktory/FaktoryConfig.java
+++ b/src/main/java/damsonslip/faktory/FaktoryConfig.java
@@ -6,6 +6,7 @@
 import damsonslip.faktory.routes.Routes;
 import damsonslip.faktory.sets.Glob;
 import damsonslip.faktory.sets.Ledger;
+import damsonslip.pace.Pace;
 import damsonslip.settings.BadInput;
 import damsonslip.settings.Site;
 import java.io.IOException;
@@ -30,18 +31,23 @@
  * @param leastReserveS a job's shorter {@code reserve_for} is raised to this, in seconds
  * @param fair          whether a FETCH is served from the queue served longest ago, not in its own order
  * @param waiting       how much may wait
+ * @param peers         how fast peers have to send and read at the least
  * @param routes        which class a job belongs to
  * @param site          classes, limits and the figures of the rules
  */
 public record FaktoryConfig(String name, String listen, String password, String store, String storePassword,
                             String console, int links, int longestLine, int leastReserveS, boolean fair,
-                            Ledger.Limits waiting, Routes routes, Site site) {
+                            Ledger.Limits waiting, Pace.Limits peers, Routes routes, Site site) {
     private static final int LINKS = 800;
     /** A thousand jobs of a kilobyte each, as the official clients push them in bulk. */
     private static final int LONGEST_LINE = 1024 * 1024;
     /** The protocol's own least reservation. */
     private static final int LEAST_RESERVE_S = 60;
     private static final int WAITING = 200_000;
+    /** Well-known servers give a request's head 10 to 20 s at first, and 500 bytes for each further second. */
+    private static final int PEER_GRACE_S = 10;
+    private static final int PEER_PAUSE_S = 20;
+    private static final int PEER_RATE = 500;
     /** The protocol's own figures for the dead: so many, and half a year. */
     private static final int DEAD = 10_000;
     private static final int DEAD_DAYS = 180;
@@ -61,7 +67,8 @@
             return new FaktoryConfig(text(root, "name"), text(root, "listen"), root.path("password").asText(""),
                 store, root.path("store_password").asText(""), root.path("console").asText(""),
                 whole(root, "links", LINKS, 1), whole(root, "longest_line", LONGEST_LINE, 1024),
-                whole(jobs, "least_reserve_s", LEAST_RESERVE_S, 1), fair(jobs), limits, routes(root, jobs, site), site);
+                whole(jobs, "least_reserve_s", LEAST_RESERVE_S, 1), fair(jobs),
+                limits, peers(root), routes(root, jobs, site), site);
         } catch (JsonProcessingException e) {
             throw new BadInput("config: " + file + ": not TOML: "
                 + e.getOriginalMessage().lines().findFirst().orElse(""));
@@ -70,6 +77,14 @@
         }
     }
 
+    private static Pace.Limits peers(JsonNode root) throws BadInput {
+        JsonNode peers = root.path("peers");
+        int graceS = whole(peers, "grace_s", PEER_GRACE_S, 1);
+        return new Pace.Limits(TimeUnit.SECONDS.toMicros(graceS),
+            TimeUnit.SECONDS.toMicros(whole(peers, "longest_pause_s", Math.max(graceS, PEER_PAUSE_S), graceS)),
+            whole(peers, "least_bytes_per_s", PEER_RATE, 1));
+    }
+
     private static boolean fair(JsonNode jobs) throws BadInput {
         String order = jobs.path("queue_order").asText("strict");
         if (!order.equals("strict") && !order.equals("fair")) {
--- a/src/main/java/damsonslip/faktory/FaktoryLink.java
+++ b/src/main/java/damsonslip/faktory/FaktoryLink.java
@@ -1,10 +1,12 @@
 package damsonslip.faktory;
 
+import damsonslip.core.Counters.Count;
 import damsonslip.faktory.codec.Command;
 import damsonslip.faktory.codec.Malformed;
 import damsonslip.faktory.codec.Reply;
 import damsonslip.net.Lines;
 import damsonslip.net.Link;
+import damsonslip.pace.Pace;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.List;
@@ -26,6 +28,9 @@
     private final String salt = Password.salt();
     private final Lines lines;
     private int begun;
+    /** Whether the peer keeps up with sending a command that it has begun, and with reading a reply. */
+    private final Pace sends;
+    private final Pace reads;
     private final ArrayDeque<String> ahead = new ArrayDeque<>();
     private long openedUs;
     private boolean greeted;
@@ -37,6 +42,8 @@
         super(endPoint, faktory.loop());
         this.faktory = faktory;
         this.lines = new Lines(faktory.longestLine());
+        this.sends = new Pace(faktory.peers());
+        this.reads = new Pace(faktory.peers());
     }
 
     boolean greeted() {
@@ -78,6 +85,7 @@
         }
         faktory.holds(lines.begun() - begun);
         begun = lines.begun();
+        paced(part.length, !whole.isEmpty());
         if (begun > SHORT_LINE && faktory.held() > Runtime.getRuntime().maxMemory() / PART_OF_HEAP) {
             refuse("ERR too much is being sent here at once; come back in a moment");
             return;
@@ -86,6 +94,36 @@
         next();
     }
 
+    /** A command that has begun has to go on; each is measured by itself. */
+    private void paced(int bytes, boolean ended) {
+        long now = faktory.loop().now();
+        if (ended) {
+            sends.end();
+        }
+        if (begun > 0) {
+            sends.begin(now);
+            sends.moved(now, Math.min(bytes, begun));
+        }
+    }
+
+    /** Lets the peer go if it keeps up no longer. Guards the room and the memory that it would hold for ever. */
+    void judge(long nowUs) {
+        if (isClosed() || isParting()) {
+            return;
+        }
+        if (reads.tooSlow(nowUs)) {
+            faktory.letGo(this, Count.SLOW_READERS_LET_GO, "does not read its replies");
+            end();
+        } else if (sends.tooSlow(nowUs) && !answering) {
+            faktory.letGo(this, Count.SLOW_SENDERS_LET_GO, "sends a command at " + (long) sends.rate(nowUs) + " bytes/s");
+            refuse("ERR too slow: a command that has begun has to go on");
+        }
+    }
+
+    /**
+     * Takes the next command; one in each turn of the loop. Guards everybody else against a peer that sends thousands
+     * ahead: where a reply is written at once, all of them would be answered before anyone else has a turn.
+     */
     private void next() {
         while (!answering && !isClosed() && !ahead.isEmpty()) {
             String line = ahead.poll();
@@ -93,6 +131,7 @@
                 continue;
             }
             answering = true;
+            sends.end();
             try {
                 Command command = Command.decode(line);
                 if (greeted) {
@@ -107,10 +146,15 @@
                     refuse("ERR " + e.getMessage());
                 }
             }
+            return; // the reply leads to the next turn
         }
     }
 
     private void goOn() {
+        answering = false;
+        if (begun > 0) {
+            sends.begin(faktory.loop().now()); // while it was being answered nothing was read from it
+        }
         next();
         if (!answering && ahead.isEmpty()) {
             again();
@@ -139,9 +183,10 @@
     }
 
     void reply(ByteBuffer reply, Runnable written) {
+        reads.begin(faktory.loop().now(), reply.remaining());
         write(() -> {
             written.run();
-            answering = false;
+            reads.end();
             faktory.loop().execute(this::goOn);
         }, reply);
     }
--- a/src/main/java/damsonslip/net/Link.java
+++ b/src/main/java/damsonslip/net/Link.java
@@ -206,6 +206,9 @@
     protected final void again() {
         if (!closed && !parting && BufferUtil.hasContent(in)) {
             received(in);
+            if (BufferUtil.isEmpty(in)) { // else one that was full would count as full still, and never be read into
+                BufferUtil.clear(in);
+            }
         }
         if (!closed && !isFillInterested()) {
             read();
--- /dev/null
+++ b/src/test/java/damsonslip/faktory/SlowPeersTest.java
@@ -0,0 +1,166 @@
+package damsonslip.faktory;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.FaktoryPeer;
+import damsonslip.kit.Program;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Peers that send or read slowly, and peers that send far ahead: they go, or wait, and nobody else notices. */
+class SlowPeersTest {
+    @TempDir
+    Path dir;
+    private final int port = Program.freePort();
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private Program program;
+
+    @BeforeEach
+    void start() throws IOException {
+        String file = Files.readString(Path.of("deploy/faktory.toml")).replace("127.0.0.1:7419", "127.0.0.1:" + port)
+            .replace("redis://127.0.0.1:6379", "memory").replace("127.0.0.1:7420", "")
+            .replace("grace_s = 10", "grace_s = 2")
+            .replace("longest_pause_s = 20", "longest_pause_s = 5").replace("_per_s = 500 ", "_per_s = 1000 ");
+        program = new Program(null, "serve", Program.file(dir, file).toString()).awaitWord("taken up from the store");
+        open.add(program);
+    }
+
+    @AfterEach
+    void end() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+    }
+
+    private FaktoryPeer peer() throws IOException {
+        FaktoryPeer peer = new FaktoryPeer(port, "", "");
+        open.add(peer);
+        return peer;
+    }
+
+    @Test
+    void aTricklerIsToldAndLetGoWhileSlowButSteadyAndPausingPeersAreServed() throws Exception {
+        FaktoryPeer trickles = peer();
+        FaktoryPeer bursts = peer();
+        FaktoryPeer pauses = peer();
+        String filler = "x".repeat(1_500);
+        bursts.peer().send("PUSH {\"jid\":\"job-00001\",\"jobtype\":\"t\",\"args\":[\"");
+        pauses.peer().send("PUSH {\"jid\":\"job-00002\",\"jobtype\":\"t\",\"args\":[\"" + filler.repeat(10));
+        trickles.peer().send("PUSH {");
+        long from = System.nanoTime();
+        for (int tenth = 1; tenth <= 60; tenth++) {
+            Thread.sleep(100);
+            trickle(trickles);
+            if (tenth % 15 == 0) {
+                bursts.peer().send(filler);
+            }
+            if (tenth == 35) {
+                pauses.peer().send("\"]}\r\n");
+            }
+        }
+        assertTrue(System.nanoTime() - from > 5_000_000_000L);
+        bursts.peer().send("\"]}\r\n");
+        assertEquals("+OK", bursts.peer().line());
+        assertEquals("+OK", pauses.peer().line());
+        assertEquals(1, peer().info().path("counters").path("slow_senders_let_go").asInt());
+        assertTrue(program.said().contains("is let go: it sends a command at"), program.said());
+    }
+
+    private static void trickle(FaktoryPeer peer) {
+        try {
+            peer.peer().send("x");
+        } catch (IOException e) {
+            return; // it has been let go
+        }
+    }
+
+    /** Who sends commands and never reads what comes back is closed once nothing moves for its grace. */
+    @Test
+    void whoNeverReadsIsLetGo() throws Exception {
+        FaktoryPeer mute = peer();
+        String many = "INFO\r\n".repeat(1_000);
+        Thread sends = new Thread(() -> {
+            try {
+                for (int i = 0; i < 200; i++) {
+                    mute.peer().send(many);
+                }
+            } catch (IOException e) {
+                return; // it has been closed, as it should be
+            }
+        });
+        sends.setDaemon(true);
+        sends.start();
+        FaktoryPeer plain = peer();
+        long end = System.nanoTime() + 40_000_000_000L;
+        while (plain.info().path("counters").path("slow_readers_let_go").asInt() == 0) {
+            assertTrue(System.nanoTime() < end, "it was not let go");
+            Thread.sleep(100);
+        }
+    }
+
+    /** Far more commands than a buffer holds, sent ahead by one that reads: each is answered, in order. */
+    @Test
+    void whoSendsFarAheadAndReadsIsAnsweredToTheEnd() throws Exception {
+        FaktoryPeer ahead = peer();
+        for (int part = 0; part < 10; part++) {
+            ahead.peer().send("JUMP\r\n".repeat(2_000));
+            for (int i = 0; i < 2_000; i++) {
+                assertEquals("-ERR unknown command JUMP", ahead.peer().line());
+            }
+        }
+    }
+
+    /** A hundred links send thousands of commands ahead, half of them reading; a plain client works beside them. */
+    @Test
+    void aFloodOfCommandsAheadLeavesAPlainClientItsTurn() throws Exception {
+        String many = "INFO\r\n".repeat(1_400);
+        for (int i = 0; i < 100; i++) {
+            FaktoryPeer floods = peer();
+            Thread sends = new Thread(() -> {
+                try {
+                    for (int n = 0; n < 20; n++) {
+                        floods.peer().send(many);
+                    }
+                } catch (IOException e) {
+                    return; // the test is over
+                }
+            });
+            sends.setDaemon(true);
+            sends.start();
+            if (i % 2 == 0) {
+                Thread reads = new Thread(() -> {
+                    try {
+                        while (floods.peer().bytes(8_192) != null) {
+                            continue; // as fast as it comes
+                        }
+                    } catch (IOException e) {
+                        return; // the test is over
+                    }
+                });
+                reads.setDaemon(true);
+                reads.start();
+            }
+        }
+        Thread.sleep(200);
+        long worst = 0;
+        for (int i = 0; i < 10; i++) {
+            long from = System.nanoTime();
+            try (FaktoryPeer plain = new FaktoryPeer(port, "w" + i, "")) {
+                assertEquals("+OK", plain.plain("job-0000" + i, ""));
+                assertEquals("job-0000" + i, plain.fetch("default", 0));
+                assertEquals("+OK", plain.ack("job-0000" + i));
+            }
+            worst = Math.max(worst, (System.nanoTime() - from) / 1_000_000);
+        }
+        System.out.println("beside 100 links that flood: HELLO, PUSH, FETCH and ACK in " + worst + " ms at the worst");
+        assertTrue(worst < 2_000, worst + " ms");
+    }
+}
