Show workers' memory in INFO, and drop a reply's unused hook

Observed on reading the change once more: a worker's rss_kb was kept and shown nowhere, and FaktoryLink.reply took a callback that nobody gave. Change: INFO's tasks.Workers has rss_kb, the sum over workers; the second form of reply is gone.

--- a/src/main/java/damsonslip/faktory/FaktoryLink.java
+++ b/src/main/java/damsonslip/faktory/FaktoryLink.java
@@ -179,13 +179,8 @@
 
     /** Answers the command at hand and goes on to the next. */
     void reply(ByteBuffer reply) {
-        reply(reply, () -> { });
-    }
-
-    void reply(ByteBuffer reply, Runnable written) {
         reads.begin(faktory.loop().now(), reply.remaining());
         write(() -> {
-            written.run();
             reads.end();
             faktory.loop().execute(this::goOn);
         }, reply);
--- a/src/main/java/damsonslip/faktory/Operators.java
+++ b/src/main/java/damsonslip/faktory/Operators.java
@@ -255,7 +255,8 @@
         queues.forEach(sizes::put);
         ledger.paused().forEach(jobs.putArray("paused")::add);
         ObjectNode tasks = jobs.putObject("tasks");
-        tasks.putObject("Workers").put("size", consumers.all().size());
+        tasks.putObject("Workers").put("size", consumers.all().size())
+            .put("rss_kb", consumers.all().stream().mapToLong(consumer -> consumer.rssKb).sum());
         tasks.putObject("Working").put("size", ledger.size(JobRecord.State.RESERVED));
         tasks.putObject("Scheduled").put("size", ledger.size(JobRecord.State.SCHEDULED));
         tasks.putObject("Retries").put("size", ledger.size(JobRecord.State.RETRY));
