Answer the operators' calls on a second address, with figures, bans and a drain

Design, in a few lines: - mgmt: the line decoded once into a Call, the answer encoded once; its own selector, and room for 12 callers (24 more in a rush) apart from the clients'. Whoever has said no whole call after 2 s goes, and the oldest of them go first. - operations: what the calls do, once for the console and for mgmt. The console's 'drain ID' is 'disable ID' now, and 'drain' sends clients away. - bans: pure. A banned worker drains to the module whatever the list says, and one put back counts as started then. A link or probe that was under way to it is stopped before its first byte (ServerSide.maySend). - parting: pure. Connections in use go with the answer that says close; idle ones after 0.5 s when no new ones come, all of them by 1.6 s, since a query from the last 2 s may not be open 4 s after the call. Phase has DRAINED beside SERVING.

Checked: the first rush test found whole calls closed unheard, since 16 connections were accepted before the loop had let others go; room for a rush is 24 now. Ruled out: that answers are late under the clients' load (32 scrapes, none late). One Faktory test, aBatchStillOpenAtARestartGoesOn, failed once in the whole suite and passed alone; looked at next.

--- a/src/main/java/damsonslip/console/Control.java
+++ b/src/main/java/damsonslip/console/Control.java
@@ -5,10 +5,11 @@
 import damsonslip.core.Counters;
 import damsonslip.core.Front;
 import damsonslip.core.Loop;
-import damsonslip.core.Phase;
 import damsonslip.net.Address;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
+import damsonslip.operations.Figure;
+import damsonslip.operations.Operations;
 import damsonslip.settings.BadInput;
 import java.io.IOException;
 import java.util.List;
@@ -21,16 +22,16 @@
     private static final long CONNECT_MS = 1_000;
 
     private final Loop loop;
-    private final Phase phase;
     private final Counters counters;
     private final Front front;
+    private final Operations operations;
     private volatile int open;
 
-    public Control(Loop loop, Phase phase, Counters counters, Front front) {
+    public Control(Loop loop, Counters counters, Front front, Operations operations) {
         this.loop = loop;
-        this.phase = phase;
         this.counters = counters;
         this.front = front;
+        this.operations = operations;
     }
 
     public void listen(String address) throws BadInput, IOException {
@@ -71,9 +72,12 @@
             case "pools" -> pools(front.driver().pools());
             case "queues" -> queues(front.driver().pools());
             case "counters" -> counters();
-            case "phase" -> phase.state().name().toLowerCase(Locale.ROOT);
-            case "drain" -> words.length != 2 ? "which worker? drain ID"
-                : front.driver().drain(words[1]) ? words[1] + " gets nothing new" : "no such worker: " + words[1];
+            case "phase" -> operations.ready().words();
+            case "stats" -> figures();
+            case "disable" -> words.length != 2 ? "which worker? disable ID" : operations.disable(words[1]).words();
+            case "enable" -> words.length != 2 ? "which worker? enable ID" : operations.enable(words[1]).words();
+            case "drain" -> operations.drain().words();
+            case "undrain" -> operations.undrain().words();
             case "help" -> Commands.HELP;
             default -> "unknown command: " + words[0] + "; help lists them";
         };
@@ -106,6 +110,14 @@
         return text.toString();
     }
 
+    private String figures() {
+        StringBuilder text = new StringBuilder();
+        for (Figure figure : operations.figures()) {
+            text.append(row("%-26s %10d", figure.name(), figure.value()));
+        }
+        return text.toString();
+    }
+
     private String counters() {
         StringBuilder text = new StringBuilder();
         counters.each((name, count) -> text.append(row("%-26s %10d", name, count)));
--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -20,18 +20,19 @@
 import damsonslip.Dispatch.Send;
 import damsonslip.Dispatch.SetTimer;
 import damsonslip.Dispatch.Settings;
-import damsonslip.Dispatch.Status;
 import damsonslip.Dispatch.TimerDue;
 import damsonslip.Dispatch.WatchList;
 import damsonslip.Dispatch.Worker;
 import damsonslip.Dispatch.WorkerState;
 import damsonslip.Rules;
+import damsonslip.bans.Bans;
 import damsonslip.core.Counters.Count;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -47,9 +48,9 @@
     private final Counters counters;
     private final Rules rules;
     private final Map<String, Exchange> exchanges = new HashMap<>();
-    private final Map<String, Worker> listed = new HashMap<>();
-    /** Workers that an operator keeps new jobs from, with the start that this holds for. */
-    private final Map<String, Long> drained = new HashMap<>();
+    private final Bans bans = new Bans();
+    /** Answers by class and kind. */
+    private final long[][] answers;
     private final ArrayDeque<Event> waiting = new ArrayDeque<>();
     private WorkerSide workers;
     private boolean handling;
@@ -59,12 +60,13 @@
         this.loop = loop;
         this.counters = counters;
         this.rules = new Rules(settings, seed);
+        this.answers = new long[settings.classes().size()][Answer.Kind.values().length];
     }
 
     /** Begins with the list of workers that was kept; before anything else is told. */
     public void begin(WorkerSide side, List<Worker> kept) {
         workers = side;
-        tell(new ListUpdate(ListMode.KEPT, withDrains(kept)));
+        tell(new ListUpdate(ListMode.KEPT, bans.listed(ListMode.KEPT, kept)));
     }
 
     // ---- for operators
@@ -77,33 +79,59 @@
         return rules.workers(loop.now());
     }
 
-    /** Keeps new jobs from a worker until it starts anew; gives false if no list has named it. */
-    public boolean drain(String id) {
-        Worker worker = listed.get(id);
-        if (worker == null) {
+    /** How many classes there are. */
+    public int classes() {
+        return answers.length;
+    }
+
+    /** How many queries of a class have ended like this. */
+    public long answers(int jobClass, Answer.Kind kind) {
+        return answers[jobClass][kind.ordinal()];
+    }
+
+    /** The workers that the list holds now. */
+    public Set<String> targets() {
+        return bans.targets();
+    }
+
+    /** Keeps new jobs from a worker until {@link #enable}; gives false if no list has named it. */
+    public boolean disable(String id) {
+        if (!bans.knows(id)) {
             return false;
         }
-        drained.put(id, worker.startedUs());
+        told(bans.ban(id));
         workers.drain(id);
-        listed(ListMode.CHANGES, List.of(worker));
         return true;
     }
 
-    /** Guards an operator's drain against lists that know nothing of it. */
-    private List<Worker> withDrains(List<Worker> list) {
-        list.forEach(worker -> listed.put(worker.id(), worker));
-        return list.stream().map(worker -> {
-            Long drainedStart = drained.get(worker.id());
-            if (drainedStart == null || worker.status() != Status.RUNNING) {
-                return worker;
-            }
-            if (drainedStart != worker.startedUs()) {
-                drained.remove(worker.id());
-                return worker;
-            }
-            return new Worker(worker.id(), worker.zone(), worker.cell(), worker.kind(), Status.DRAINING,
-                worker.startedUs());
-        }).toList();
+    /** Uses a worker again, as one that has just started; gives false if no list has named it. */
+    public boolean enable(String id) {
+        if (!bans.knows(id)) {
+            return false;
+        }
+        told(bans.lift(id, loop.now()));
+        return true;
+    }
+
+    /** Whether an operator has taken the worker out: nothing more is written to it, decided or not. */
+    public boolean bars(String id) {
+        return bans.bars(id);
+    }
+
+    /** The bans as a text that {@link #takeOver} reads in another process. */
+    public String bans() {
+        return bans.text(loop.now());
+    }
+
+    /** Bans that another process has kept hold here too. */
+    public void takeOver(String text) throws Bans.Unreadable {
+        told(bans.replace(text));
+    }
+
+    private void told(List<Worker> changed) {
+        if (!changed.isEmpty() && workers != null) {
+            tell(new ListUpdate(ListMode.CHANGES, changed));
+        }
     }
 
     /** Queries that still lack their final answer. */
@@ -123,6 +151,7 @@
         counters.add(Count.QUERIES_TAKEN);
         Exchange exchange = new Exchange(query, answer -> {
             open--;
+            answers[query.jobClass()][answer.kind().ordinal()]++;
             counters.add(switch (answer.kind()) {
                 case SERVED -> Count.ANSWERS_SERVED;
                 case THROTTLED -> Count.ANSWERS_THROTTLED;
@@ -194,7 +223,7 @@
 
     public void listed(ListMode mode, List<Worker> list) {
         counters.add(mode == ListMode.FAILED ? Count.LIST_FAILURES : Count.LIST_UPDATES);
-        tell(new ListUpdate(mode, withDrains(list)));
+        tell(new ListUpdate(mode, bans.listed(mode, list)));
     }
 
     public void probed(String worker, boolean ok, Report report) {
--- a/src/main/java/damsonslip/core/Front.java
+++ b/src/main/java/damsonslip/core/Front.java
@@ -17,6 +17,14 @@
      */
     void reload();
 
+    /** Sends clients away until {@link #undrain}; tells false where the front cannot. Called on the loop. */
+    default boolean drain() {
+        return false;
+    }
+
+    /** Takes clients again; called on the loop. */
+    default void undrain() { }
+
     /** Gives up what is held open, once everything has ended. */
     default void close() { }
 
--- a/src/main/java/damsonslip/core/Phase.java
+++ b/src/main/java/damsonslip/core/Phase.java
@@ -3,7 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Where the program stands between its start and its exit: one object, whose state only moves forward. */
+/**
+ * Where the program stands between its start and its exit: one object, whose state only moves forward, but for
+ * {@link #drain} and {@link #undrain}.
+ */
 public final class Phase {
     /** The states, in their order. */
     public enum State {
@@ -11,6 +14,8 @@
         STARTING,
         /** Takes queries in. */
         SERVING,
+        /** Serves, but sends its clients away: not ready, and every answer is its connection's last. May go back. */
+        DRAINED,
         /** Told to stop: still takes queries in, and every answer asks the client to go elsewhere. */
         LEAVING,
         /** Takes nothing new; answers what it holds. */
@@ -48,6 +53,17 @@
         told.forEach(Runnable::run);
     }
 
+    /** From serving to drained; tells whether it is drained now. */
+    public synchronized boolean drain() {
+        state = state == State.SERVING ? State.DRAINED : state;
+        return state == State.DRAINED;
+    }
+
+    /** From drained back to serving; any other state stays. */
+    public synchronized void undrain() {
+        state = state == State.DRAINED ? State.SERVING : state;
+    }
+
     public synchronized void onChange(Runnable watcher) {
         watchers.add(watcher);
     }
--- a/src/main/java/damsonslip/net/Link.java
+++ b/src/main/java/damsonslip/net/Link.java
@@ -53,6 +53,13 @@
         return closed;
     }
 
+    /** Takes in what has come and was not read yet, so that a link is not ended over it. */
+    protected final void look() {
+        if (!closed && !parting) {
+            read();
+        }
+    }
+
     /** Whether only the peer's goodbye is awaited. */
     public final boolean isParting() {
         return parting;
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -1,14 +1,17 @@
 package damsonslip.platform;
 
 import damsonslip.core.Counters;
+import damsonslip.core.Counters.Count;
 import damsonslip.core.Driver;
 import damsonslip.core.Front;
 import damsonslip.core.Leave;
 import damsonslip.core.Loop;
 import damsonslip.core.Phase;
 import damsonslip.core.Phase.State;
+import damsonslip.mgmt.Mgmt;
 import damsonslip.net.Address;
 import damsonslip.net.Links;
+import damsonslip.parting.Parting;
 import damsonslip.platform.clients.ClientSide;
 import damsonslip.platform.servers.HostGroup;
 import damsonslip.platform.servers.ServerSide;
@@ -63,7 +66,7 @@
         InetSocketAddress discovery = address("discovery", config.discovery());
         Links links = Links.start(loop, config.site().connectUs() / 1000);
         int overflow = config.sockets() / OVERFLOW_PART;
-        int sockets = config.sockets() - OTHER_SOCKETS - overflow;
+        int sockets = config.sockets() - OTHER_SOCKETS - overflow - (config.mgmt().isEmpty() ? 0 : Mgmt.SOCKETS);
         clients = new ClientSide(links, config.site(), driver, phase, counters, sockets / 2, overflow);
         servers = new ServerSide(links, config.site(), driver, counters, discovery, sockets / 2);
         HostGroup.Update known = known(servers.hosts());
@@ -93,9 +96,11 @@
                 LOG.warn("reload: another listen or other settings take effect at the next start only");
             }
             LOG.info("reload: discovery is at {}", fresh.discovery());
+            counters.add(Count.RELOADS_DONE);
             loop.execute(() -> servers.discoverAt(discovery));
         } catch (BadInput e) {
             LOG.warn("reload: {}; what held before goes on", e.getMessage());
+            counters.add(Count.RELOADS_REFUSED);
         }
     }
 
@@ -121,6 +126,20 @@
         loop.execute(() -> new Leave(loop, phase, LEAVING_US, longest, this::shut, this::done).begin());
     }
 
+    @Override
+    public boolean drain() {
+        if (phase.drain()) {
+            clients.sendAway(Parting.drained(loop.now()));
+        }
+        return true;
+    }
+
+    @Override
+    public void undrain() {
+        phase.undrain();
+        clients.stay();
+    }
+
     private void shut() {
         try {
             listener.close();
--- a/src/main/java/damsonslip/platform/clients/ClientLink.java
+++ b/src/main/java/damsonslip/platform/clients/ClientLink.java
@@ -5,6 +5,7 @@
 import damsonslip.core.Exchange;
 import damsonslip.core.Loop;
 import damsonslip.net.Link;
+import damsonslip.parting.Parting;
 import damsonslip.platform.http.Encoder;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
@@ -174,6 +175,29 @@
         side.loop().execute(this::again);
     }
 
+    /** Ends it between queries; one that has just come is served first. */
+    void endIfIdle() {
+        if (idle()) {
+            look();
+        }
+        if (idle()) {
+            end();
+        }
+    }
+
+    /** Carries out what sending clients away means for this one. */
+    void part(Parting parting) {
+        switch (parting.of(side.loop().now(), busy, reader.midway(), idleSinceUs)) {
+            case KEEP -> { }
+            case END -> endIfIdle();
+            case REFUSE -> {
+                busy = true;
+                leaving = true;
+                reply(503, "going away", HttpFields.build());
+            }
+        }
+    }
+
     boolean busy() {
         return busy;
     }
--- a/src/main/java/damsonslip/platform/clients/ClientSide.java
+++ b/src/main/java/damsonslip/platform/clients/ClientSide.java
@@ -11,6 +11,7 @@
 import damsonslip.net.Link;
 import damsonslip.net.Links;
 import damsonslip.net.Room;
+import damsonslip.parting.Parting;
 import damsonslip.settings.Site;
 import java.io.Closeable;
 import java.io.IOException;
@@ -25,6 +26,8 @@
 public final class ClientSide implements Links.Accepting {
     /** Ids of queries that are remembered: more than come in within the longest deadline. */
     private static final int MOST_TAKEN = 4_000;
+    /** Connections that are to go are looked at this often: short beside every time in {@link Parting}. */
+    private static final long SWEEP_US = 50_000;
 
     private final Links links;
     private final Site site;
@@ -33,6 +36,7 @@
     private final Counters counters;
     private final Room<ClientLink> room;
     private long latestUs = Long.MAX_VALUE;
+    private Parting parting;
     /** The ids of the queries taken lately, the oldest first. */
     private final Map<String, Boolean> taken = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -62,7 +66,27 @@
 
     /** Ends the connections on which nothing is under way; the rest end with their answers. */
     public void closeIdle() {
-        List.copyOf(room.all()).stream().filter(ClientLink::idle).forEach(Link::end);
+        List.copyOf(room.all()).forEach(ClientLink::endIfIdle);
+    }
+
+    /** Ends connections by this rule, until {@link #stay}; one that holds already stays as it is. */
+    public void sendAway(Parting rule) {
+        if (parting == null) {
+            parting = rule;
+            sweep(rule);
+        }
+    }
+
+    /** Connections stay again. */
+    public void stay() {
+        parting = null;
+    }
+
+    private void sweep(Parting rule) {
+        if (parting == rule) {
+            List.copyOf(room.all()).forEach(link -> link.part(rule));
+            loop().in(SWEEP_US, () -> sweep(rule));
+        }
     }
 
     /** How many connections still owe an answer; one on which a query has only begun owes none. */
--- a/src/main/java/damsonslip/platform/servers/ServerLink.java
+++ b/src/main/java/damsonslip/platform/servers/ServerLink.java
@@ -94,7 +94,12 @@
         status = 0;
         report = null;
         unprocessed = false;
-        write(() -> written = true, request);
+        write(() -> {
+            written = true;
+            if (!probing) {
+                side.written();
+            }
+        }, request);
     }
 
     /** Gives up what it carries, by the only means there is: the connection ends. */
--- a/src/main/java/damsonslip/platform/servers/ServerSide.java
+++ b/src/main/java/damsonslip/platform/servers/ServerSide.java
@@ -115,7 +115,7 @@
      * after the news: these were never sent, and the module may place them elsewhere.
      */
     private void carry(ServerLink link, Execution execution) {
-        if (!hosts.maySend(execution.worker(), loop().now())) {
+        if (!maySend(execution.worker())) {
             counters.add(Count.DRAINED_SENDS_STOPPED);
             idle(link);
             driver.ended(execution, Execution.End.of(Outcome.NOT_CONNECTED));
@@ -125,6 +125,14 @@
         link.carry(execution);
     }
 
+    private boolean maySend(String worker) {
+        return hosts.maySend(worker, loop().now()) && !driver.bars(worker);
+    }
+
+    void written() {
+        counters.add(Count.EXECUTIONS_WRITTEN);
+    }
+
     void ended(Execution execution, Execution.End end) {
         carrying.remove(execution);
         driver.ended(execution, end);
@@ -142,7 +150,7 @@
     public void probe(String worker) {
         InetSocketAddress address = hosts.address(worker);
         ServerLink kept = keptLink(worker, false);
-        if (address == null || !hosts.maySend(worker, loop().now())) {
+        if (address == null || !maySend(worker)) {
             loop().execute(() -> driver.probed(worker, false, null));
         } else if (kept != null) {
             ask(kept);
@@ -152,6 +160,11 @@
     }
 
     private void ask(ServerLink link) {
+        if (!maySend(link.worker())) { // the news came while the link was opened
+            idle(link);
+            driver.probed(link.worker(), false, null);
+            return;
+        }
         link.probe();
         loop().in(site.probeUs(), link::probeOverdue);
     }
--- a/src/main/java/damsonslip/program/Rehearsal.java
+++ b/src/main/java/damsonslip/program/Rehearsal.java
@@ -63,7 +63,7 @@
             JsonNode known = new ObjectMapper().readTree(KNOWN.formatted(worker.getLocalPort()));
             NodeConfig config = new NodeConfig("rehearsal", LOOPBACK + ":" + port,
                 LOOPBACK + ":" + discovery.getLocalPort(), 1, 256, known,
-                Site.read(new ObjectMapper().readTree(SETTINGS)));
+                Site.read(new ObjectMapper().readTree(SETTINGS)), "");
             Platform platform = new Platform(loop, phase, new Counters(), config, Map.of());
             platform.start();
             phase.await(State.SERVING, LONGEST_MS);
--- a/src/main/java/damsonslip/program/Serve.java
+++ b/src/main/java/damsonslip/program/Serve.java
@@ -8,6 +8,8 @@
 import damsonslip.core.Phase.State;
 import damsonslip.faktory.Faktory;
 import damsonslip.faktory.FaktoryConfig;
+import damsonslip.mgmt.Mgmt;
+import damsonslip.operations.Operations;
 import damsonslip.platform.Platform;
 import damsonslip.settings.BadInput;
 import damsonslip.settings.NodeConfig;
@@ -30,8 +32,14 @@
         try {
             Front front;
             String console;
+            Mgmt mgmt = null;
             if (file == null) {
-                front = new Platform(loop, phase, counters, NodeConfig.read(environment), environment);
+                NodeConfig config = NodeConfig.read(environment);
+                front = new Platform(loop, phase, counters, config, environment);
+                if (!config.mgmt().isBlank()) {
+                    mgmt = new Mgmt(loop);
+                    mgmt.listen(config.mgmt()); // before clients find the door open: one that is taken ends the program
+                }
                 console = environment.getOrDefault("DAMSONSLIP_CONSOLE", "");
             } else {
                 FaktoryConfig config = FaktoryConfig.read(file);
@@ -39,8 +47,13 @@
                 console = config.console();
             }
             front.start();
+            Operations operations = new Operations(phase, counters, front, () -> { });
+            if (mgmt != null) {
+                Mgmt second = mgmt;
+                loop.execute(() -> second.serves(operations));
+            }
             if (!console.isBlank()) {
-                new Control(loop, phase, counters, front).listen(console);
+                new Control(loop, counters, front, operations).listen(console);
             }
             hangUp.then(front::reload);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(front, phase, counters), "stop"));
--- a/src/main/java/damsonslip/settings/NodeConfig.java
+++ b/src/main/java/damsonslip/settings/NodeConfig.java
@@ -19,9 +19,10 @@
  * @param sockets   how many descriptors it may hold
  * @param known     the list of workers as it had it last, undecoded
  * @param site      the deployment
+ * @param mgmt      where the operators' tools call; empty: nowhere
  */
 public record NodeConfig(String name, String listen, String discovery, long seed, int sockets, JsonNode known,
-                         Site site) {
+                         Site site, String mgmt) {
     private static final int FEWEST_SOCKETS = 128;
 
     /** Reads the file that the environment names; the environment's own figures stand in for absent ones. */
@@ -35,7 +36,7 @@
         return new NodeConfig(name, needed(root, "listen", environment.get("ROUTER_LISTEN")),
             needed(root, "discovery", environment.get("ROUTER_DISCOVERY")), seed(root.path("seed").asText("0")),
             Math.max(FEWEST_SOCKETS, root.path("limits").path("sockets").asInt(1024)), root.path("known"),
-            Site.read(root.path("settings")));
+            Site.read(root.path("settings")), root.path("mgmt").asText(environment.getOrDefault("ROUTER_MGMT", "")));
     }
 
     private static JsonNode parse(String file) throws BadInput {
--- a/src/test/java/damsonslip/kit/Program.java
+++ b/src/test/java/damsonslip/kit/Program.java
@@ -31,6 +31,7 @@
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         if (config != null) {
             builder.environment().put("ROUTER_CONFIG", config.toString());
+            builder.environment().put("TMPDIR", config.getParent().toString());
         }
         process = builder.start();
         reader = new Thread(this::read, "program's words");
--- /dev/null
+++ b/src/test/java/damsonslip/parting/PartingTest.java
@@ -0,0 +1,21 @@
+package damsonslip.parting;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import damsonslip.parting.Parting.Verdict;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class PartingTest {
+    /** Times in ms after the drain; what matters is that nothing taken late can be open 4 s after the call. */
+    @ParameterizedTest
+    @CsvSource({
+        "100, false, false, -9000, KEEP", "499, false, false, -9000, KEEP", "500, false, false, -9000, END",
+        "500, false, false, 300, KEEP", "600, false, false, 300, END", "700, false, true, -9000, KEEP",
+        "1599, false, true, -9000, KEEP", "1600, false, true, -9000, REFUSE", "1600, false, false, 1590, END",
+        "5000, true, false, -9000, KEEP", "2500, false, false, 2499, END"})
+    void aConnectionIsKeptEndedOrRefused(long nowMs, boolean busy, boolean midway, long idleSinceMs, Verdict verdict) {
+        long began = 1_000_000_000;
+        assertEquals(verdict, Parting.drained(began).of(began + nowMs * 1000, busy, midway, began + idleSinceMs * 1000));
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonslip/platform/DailyRunningTest.java
@@ -0,0 +1,220 @@
+package damsonslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.Peer;
+import damsonslip.kit.Peer.Message;
+import damsonslip.kit.Program;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** What operators do with a running scheduler, over its second address. */
+class DailyRunningTest extends PlatformStage {
+    private static final String HEALTH = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
+    private static final Work SLOW = (peer, job) -> {
+        Thread.sleep(900);
+        SERVE.on(peer, job);
+    };
+    private final int mgmt = Program.freePort();
+
+    private static String mgmt(int port) {
+        return "\"mgmt\":\"127.0.0.1:" + port + "\",";
+    }
+
+    private void startWithMgmt(String... entries) throws IOException {
+        program = new Program(config(list(7, true, entries), mgmt(mgmt)), "serve").awaitWord("listens on");
+        Program.await("it is ready", () -> call("READY").startsWith("YES"));
+    }
+
+    private String call(String line) {
+        return call(mgmt, line);
+    }
+
+    /** The whole answer, which has to come within a second. */
+    private static String call(int port, String line) {
+        long before = System.nanoTime();
+        try (Peer caller = Peer.connect(port).send(line + "\n")) {
+            StringBuilder told = new StringBuilder();
+            for (String next = caller.line(); next != null; next = caller.line()) {
+                told.append(next).append('\n');
+            }
+            assertTrue(System.nanoTime() - before < TimeUnit.SECONDS.toNanos(1), line + " took a second");
+            return told.toString();
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    private Map<String, String> figures() {
+        String text = call("STATS");
+        assertTrue(text.endsWith("\nEND\n"), text);
+        Map<String, String> figures = new TreeMap<>();
+        text.lines().filter(line -> !line.equals("END")).forEach(line -> {
+            assertTrue(line.matches("router\\.[a-z._-]+:[0-9]+\\|[cg]"), line);
+            figures.put(line.substring("router.".length(), line.indexOf(':')), line.substring(line.indexOf(':') + 1));
+        });
+        return figures;
+    }
+
+    @Test
+    void figuresTellWhatHappenedByClass() throws Exception {
+        startWithMgmt(worker("a", SERVE), worker("b", SLOW), worker("c", BREAK));
+        call("DISABLE b");
+        call("DISABLE c");
+        for (int i = 0; i < 3; i++) {
+            assertEquals(200, ask(query("q" + i, "read", "2000m")).status());
+        }
+        call("DISABLE a");
+        call("ENABLE c");
+        assertEquals(502, ask(query("s1", "submit", "2000m")).status());
+        call("DISABLE c");
+        call("ENABLE b");
+        try (Peer client = Peer.connect(port).send(query("r1", "read", "4000m"))) {
+            Program.await("it is sent", () -> jobs("b") == 1);
+            Map<String, String> figures = figures();
+            assertEquals(Map.ofEntries(Map.entry("success.read", "3|c"), Map.entry("overload.read", "0|c"),
+                Map.entry("error.read", "0|c"), Map.entry("success.submit", "0|c"), Map.entry("overload.submit", "0|c"),
+                Map.entry("error.submit", "1|c"), Map.entry("dispatches", "5|c"), Map.entry("concurrent", "1|g"),
+                Map.entry("targets", "3|g"), Map.entry("targets_disabled", "2|g"), Map.entry("reload_success", "0|c"),
+                Map.entry("reload_failure", "0|c")), figures);
+            assertEquals(200, client.message().status());
+        }
+        assertEquals("4|c", figures().get("success.read"));
+        program.reload("{").awaitWord("reload: config");
+        Program.await("a failed reload is counted", () -> figures().get("reload_failure").equals("1|c"));
+    }
+
+    @Test
+    void whatIsNoCallGetsANoAndHoldersKeepNobodyWaiting() throws Exception {
+        startWithMgmt(worker("a", SERVE));
+        for (String line : List.of("HELLO", "DISABLE", "DISABLE nobody", "ENABLE nobody", "READY now", "x".repeat(2_000))) {
+            assertTrue(call(line).matches("NO [A-Za-z ]+.*\n"), line + ": " + call(line));
+        }
+        List<Peer> holders = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            holders.add(Peer.connect(mgmt).send(i % 2 == 0 ? "" : "REA"));
+            if (i % 10 == 0) {
+                assertTrue(call("READY").startsWith("YES"));
+            }
+        }
+        for (int i = 0; i < 700; i++) {
+            holders.add(Peer.connect(port));
+        }
+        assertTrue(call("READY").startsWith("YES"), "also when clients have taken all the room they get");
+        assertTrue(call("STATS").endsWith("END\n"));
+        for (Peer holder : holders) {
+            holder.close();
+        }
+    }
+
+    /** Two bans, one call back; a list that says 'ready' does not lift it, and neither does a new start. */
+    @Test
+    void aWorkerTakenOutGetsNothingUntilItIsPutBack() throws Exception {
+        String a = worker("a", SERVE);
+        startWithMgmt(a, worker("b", SERVE));
+        Program.await("a watch", () -> watches.size() == 1);
+        for (int i = 0; i < 8; i++) {
+            assertEquals(200, ask(query("w" + i, "read", "2000m")).status());
+        }
+        assertTrue(jobs("a") > 0, "it was in use");
+        assertTrue(call("DISABLE a").startsWith("YES"));
+        int before = jobs("a");
+        assertTrue(call("DISABLE a").startsWith("YES"));
+        news.add(list(8, true, a.replace("\"startedAtMs\":0", "\"startedAtMs\":" + System.currentTimeMillis())));
+        Thread.sleep(100);
+        news.add(list(9, false, worker("b", SERVE)));
+        for (int i = 0; i < 12; i++) {
+            assertEquals(200, ask(query("q" + i, "read", "2000m")).status());
+        }
+        assertEquals(before, jobs("a"));
+        assertEquals("1|g", figures().get("targets_disabled"));
+        assertTrue(call("ENABLE a").startsWith("YES"));
+        assertEquals("0|g", figures().get("targets_disabled"));
+        call("DISABLE b");
+        assertEquals(200, ask(query("last", "read", "2000m")).status());
+        assertTrue(jobs("a") > before, "one call back is enough");
+    }
+
+    /** The decision is older than the call, and the link comes up only after it. */
+    @Test
+    void aJobOnItsWayToAWorkerIsNotSentOnceTheWorkerIsOut() throws Exception {
+        startWithMgmt(worker("a", (peer, job) -> {
+            Thread.sleep(300);
+            TURN_AWAY.on(peer, job);
+        }), worker("b", SERVE));
+        call("DISABLE b");
+        try (Peer client = Peer.connect(port).send(query("q1", "submit", "4000m"))) {
+            Program.await("it is sent", () -> jobs("a") == 1);
+            call("DISABLE a");
+            call("ENABLE b");
+            assertEquals(200, client.message().status(), "handed back, and sent elsewhere");
+        }
+        assertEquals(1, jobs("a"));
+        assertEquals(1, jobs("b"));
+    }
+
+    /** The front hears no at once; who comes meanwhile is served; and nothing is held 4 s after the call. */
+    @Test
+    void aDrainSendsClientsAwayAndCanBeTakenBack() throws Exception {
+        startWithMgmt(worker("a", SLOW));
+        Peer idle = Peer.connect(port).send(HEALTH);
+        assertEquals(200, idle.message().status());
+        Peer used = Peer.connect(port).send(HEALTH);
+        used.message();
+        Peer half = Peer.connect(port).send(HEALTH);
+        half.message();
+        assertTrue(call("DRAIN").startsWith("YES"));
+        long drained = System.nanoTime();
+        assertTrue(call("DRAIN").startsWith("YES"), "twice is as once");
+        assertTrue(call("READY").startsWith("NO drained"));
+        assertEquals(503, ask(HEALTH).status());
+        half.send(query("q3", "read", "4000m").substring(0, 40));
+        Message fresh = ask(query("q1", "read", "4000m"));
+        assertEquals(200, fresh.status(), "new connections still come for a moment");
+        assertEquals("close", fresh.field("Connection"));
+        assertTrue(idle.closed());
+        assertEquals(503, half.message().status(), "half a query is refused in time");
+        assertTrue(used.closed());
+        assertTrue(System.nanoTime() - drained < TimeUnit.MILLISECONDS.toNanos(2_500));
+        assertTrue(call("UNDRAIN").startsWith("YES"));
+        assertTrue(call("READY").startsWith("YES"));
+        assertTrue(call("UNDRAIN").startsWith("YES"), "without a drain it changes nothing");
+        try (Peer client = Peer.connect(port).send(HEALTH)) {
+            assertEquals(200, client.message().status());
+            Thread.sleep(700);
+            assertEquals(200, client.send(query("q4", "read", "4000m")).message().status(), "connections are kept again");
+        }
+    }
+
+    @Test
+    void aStopWhileDrainedAnswersEverything() throws Exception {
+        startWithMgmt(worker("a", SLOW));
+        Peer client = Peer.connect(port).send(query("q1", "read", "4000m"));
+        Program.await("it is sent", () -> jobs("a") == 1);
+        call("DRAIN");
+        program.terminate();
+        Program.await("it leaves", () -> call("UNDRAIN").startsWith("NO"));
+        assertEquals(200, client.message().status());
+        assertEquals(143, program.exit());
+    }
+
+    @Test
+    void aBadOrTakenSecondAddressEndsTheProgramWithOnePlainLine() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0)) {
+            for (String address : List.of("nowhere", "127.0.0.1:" + taken.getLocalPort(), "127.0.0.1:99999")) {
+                try (Program failing = new Program(config(list(7, true), "\"mgmt\":\"" + address + "\","), "serve")) {
+                    assertEquals(1, failing.exit(), address);
+                    assertEquals(1, failing.said().lines().count(), failing.said());
+                    assertTrue(failing.said().startsWith("damsonslip: config: mgmt: "), failing.said());
+                }
+            }
+        }
+    }
+}
