Upgrade beside the old process: shared port, marks, divided shares, no one turned back

Design: - handover.Folder: in TMPDIR each process holds a mark whose file lock tells its life, saying starting or serving; the bans beside them, written to a part file and renamed, before the yes. With p processes each takes itself for one of n*p schedulers, with a number of its own among them (threshold share, cold budget and turn), and for 1/p of the descriptors; the newcomer from its first moment, the older one from the newcomer's word that it is about to serve. To the module this is one new event, Divided. - SIGTERM with a successor: the door shuts at once (Links.Door: the selector lets go first, since the JVM puts the close of a registered socket off; then all who wait are taken; then the close), kept connections end between queries (Parting), and /healthz stays at 200, as the address is served. Without one it leaves as before. - The second address is bound before the clients' door opens, so that a start that fails there has taken nobody. Rejected: passing the socket on (Unix sockets are out), a pid file (a pid may be another's by then), a token between the two that says who sends (it would halve nothing when one of them hangs).

UpgradeTest plays an upgrade under load, a start that fails, either process killed, two in a row, SIGHUP, spoilt bans.

--- a/src/main/java/damsonslip/Dispatch.java
+++ b/src/main/java/damsonslip/Dispatch.java
@@ -102,6 +102,12 @@
             }
         }
 
+        /** The same for one of so many dispatchers. */
+        Settings among(Divided e) {
+            return new Settings(e.dispatchers(), e.number(), zone, zones, kinds, classes, tenantQuotas, limits, guarantees,
+                reporting, listOnRequest, tellsStart, tickUs);
+        }
+
         /** Rejects an event that names a class, tenant, zone or kind that these settings do not have. */
         void check(Event event) {
             if (event instanceof JobArrived e) {
@@ -225,6 +231,9 @@
     /** A probe has come back; {@code report} may be null. */
     record ProbeEnded(String worker, boolean ok, Report report) implements Event { }
 
+    /** From now on so many dispatchers count as sharing the workers, and this one has that number among them. */
+    record Divided(int dispatchers, int number) implements Event { }
+
     /** A timer of this dispatcher's is due. */
     record TimerDue(String label) implements Event { }
 
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -105,16 +105,15 @@
 
     // ---- what is known
 
-    private final Settings settings;
+    private Settings settings;
     private final Guarantees rules;
     private final SplittableRandom random;
     private final TreeMap<String, Worker> workers = new TreeMap<>();
     private final Map<String, Job> jobs = new HashMap<>();
     private final Pool[] pools;
     private final double[] quotaLevel, tenantRate;
-    private final int[] tenantArrivals;
+    private final int[] tenantArrivals, kindSlots;
     private final FreeSeen[] freeSeen;
-    private final int[] kindSlots;
     private List<Worker> probeRound = List.of();
     private List<Action> actions;
     private double busier = 1, all, measured, probeAllowance;
@@ -172,6 +171,8 @@
             probed(e);
         } else if (event instanceof TimerDue e) {
             due(e.label());
+        } else if (event instanceof Divided e) {
+            settings = settings.among(e);
         }
     }
 
--- a/src/main/java/damsonslip/bans/Bans.java
+++ b/src/main/java/damsonslip/bans/Bans.java
@@ -47,7 +47,8 @@
     }
 
     private Worker seen(Worker worker) {
-        Status status = banned.contains(worker.id()) && worker.status() == Status.RUNNING ? Status.DRAINING : worker.status();
+        boolean out = banned.contains(worker.id()) && worker.status() == Status.RUNNING;
+        Status status = out ? Status.DRAINING : worker.status();
         return with(worker, status, Math.max(worker.startedUs(), back.getOrDefault(worker.id(), Long.MIN_VALUE)));
     }
 
--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -4,6 +4,7 @@
 import damsonslip.Dispatch.AttemptEnded;
 import damsonslip.Dispatch.AttemptStarted;
 import damsonslip.Dispatch.Cancel;
+import damsonslip.Dispatch.Divided;
 import damsonslip.Dispatch.Event;
 import damsonslip.Dispatch.Fail;
 import damsonslip.Dispatch.JobArrived;
@@ -26,6 +27,7 @@
 import damsonslip.Dispatch.WorkerState;
 import damsonslip.Rules;
 import damsonslip.bans.Bans;
+import damsonslip.kin.Kin;
 import damsonslip.core.Counters.Count;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -47,6 +49,7 @@
     private final Loop loop;
     private final Counters counters;
     private final Rules rules;
+    private final Settings settings;
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final Bans bans = new Bans();
     /** Answers by class and kind. */
@@ -60,9 +63,15 @@
         this.loop = loop;
         this.counters = counters;
         this.rules = new Rules(settings, seed);
+        this.settings = settings;
         this.answers = new long[settings.classes().size()][Answer.Kind.values().length];
     }
 
+    /** So many processes are this one scheduler now; each counts as a scheduler of its own. */
+    public void divided(Kin kin) {
+        tell(new Divided(settings.dispatchers() * kin.processes(), settings.number() * kin.processes() + kin.index()));
+    }
+
     /** Begins with the list of workers that was kept; before anything else is told. */
     public void begin(WorkerSide side, List<Worker> kept) {
         workers = side;
--- a/src/main/java/damsonslip/core/Leave.java
+++ b/src/main/java/damsonslip/core/Leave.java
@@ -14,6 +14,7 @@
     private final Phase phase;
     private final long openUs;
     private final long longestUs;
+    private final BooleanSupplier succeeded;
     private final Runnable shut;
     private final BooleanSupplier done;
     private long endUs;
@@ -21,14 +22,17 @@
     /**
      * @param openUs    how long the door stays open
      * @param longestUs how long after that something may still be under way
+     * @param succeeded whether others take what comes, so that the door need not stay open
      * @param shut      shuts the door
      * @param done      whether nothing is under way
      */
-    public Leave(Loop loop, Phase phase, long openUs, long longestUs, Runnable shut, BooleanSupplier done) {
+    public Leave(Loop loop, Phase phase, long openUs, long longestUs, BooleanSupplier succeeded, Runnable shut,
+                 BooleanSupplier done) {
         this.loop = loop;
         this.phase = phase;
         this.openUs = openUs;
         this.longestUs = longestUs;
+        this.succeeded = succeeded;
         this.shut = shut;
         this.done = done;
     }
@@ -37,11 +41,16 @@
     public void begin() {
         if (!phase.atLeast(State.LEAVING)) {
             phase.moveTo(State.LEAVING);
-            loop.in(openUs, this::finish);
+            endUs = loop.now() + openUs;
+            stayOpen();
         }
     }
 
-    private void finish() {
+    private void stayOpen() {
+        if (loop.now() < endUs && !succeeded.getAsBoolean()) {
+            loop.in(Math.min(LOOK_US, endUs - loop.now()), this::stayOpen);
+            return;
+        }
         phase.moveTo(State.FINISHING);
         endUs = loop.now() + longestUs;
         shut.run();
--- a/src/main/java/damsonslip/faktory/Faktory.java
+++ b/src/main/java/damsonslip/faktory/Faktory.java
@@ -136,7 +136,7 @@
     public void leave() {
         long longest = config.site().deadlinesUs().stream().mapToLong(Long::longValue).max().orElse(0);
         boolean lasting = !config.store().equals("memory");
-        loop.execute(() -> new Leave(loop, phase, LEAVING_US, longest, this::shut,
+        loop.execute(() -> new Leave(loop, phase, LEAVING_US, longest, () -> false, this::shut,
             () -> lasting ? consumers.awaitedInHand() == 0 : desk.awaited() == 0).begin());
     }
 
--- a/src/main/java/damsonslip/mgmt/Reply.java
+++ b/src/main/java/damsonslip/mgmt/Reply.java
@@ -18,7 +18,7 @@
         return bytes("NO " + why + "\n");
     }
 
-    /** A line for each figure, {@code router.NAME:VALUE|c} for a count and {@code |g} for a gauge, and one that ends them. */
+    /** A line for each figure, {@code router.NAME:VALUE|c} for a count and {@code |g} for a gauge, and the last one. */
     static ByteBuffer of(List<Figure> figures) {
         StringBuilder text = new StringBuilder();
         for (Figure figure : figures) {
--- a/src/main/java/damsonslip/net/Links.java
+++ b/src/main/java/damsonslip/net/Links.java
@@ -19,9 +19,12 @@
 import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Opens and accepts {@link Link}s, over one selector of Jetty's. */
 public final class Links extends SelectorManager {
+    private static final Logger LOG = LoggerFactory.getLogger(Links.class);
     private static final int BACKLOG = 512;
 
     private final Loop loop;
@@ -69,9 +72,25 @@
 
     /** Listens there until the result is closed. */
     public Closeable listen(InetSocketAddress address, Accepting taker) throws IOException {
+        Door door = open(address, taker, false);
+        return () -> {
+            door.acceptor.close();
+            door.server.close();
+        };
+    }
+
+    /**
+     * Listens there until the door is shut.
+     *
+     * @param shared whether another process may listen there as well
+     */
+    public Door open(InetSocketAddress address, Accepting taker, boolean shared) throws IOException {
         ServerSocketChannel server = ServerSocketChannel.open();
         try {
             server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            if (shared) {
+                server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
+            }
             server.bind(address, BACKLOG);
             server.configureBlocking(false);
         } catch (IOException | RuntimeException e) {
@@ -79,11 +98,50 @@
             throw e;
         }
         accepting.put(server.getLocalAddress(), taker);
-        Closeable acceptor = acceptor(server);
-        return () -> {
-            acceptor.close();
-            server.close();
-        };
+        return new Door(server, acceptor(server));
+    }
+
+    /** A listening socket that can be shut without turning anybody away who is before it already. */
+    public final class Door {
+        private static final long LOOK_US = 1_000;
+        private final ServerSocketChannel server;
+        private final Closeable acceptor;
+
+        private Door(ServerSocketChannel server, Closeable acceptor) {
+            this.server = server;
+            this.acceptor = acceptor;
+        }
+
+        /**
+         * Shuts it; called on the loop. Guards against connections that the system has accepted and nobody has taken: a
+         * close resets them. The JVM puts the close off until the selector has let go of the socket, and all who come
+         * until then would be lost; so the selector lets go first, then all are taken, and the close follows at once.
+         */
+        public void shut() {
+            try {
+                acceptor.close();
+                letGo();
+            } catch (IOException e) {
+                LOG.warn("the listener did not close: {}", e.getMessage());
+            }
+        }
+
+        private void letGo() {
+            boolean free = !server.isRegistered();
+            try {
+                for (SocketChannel next = server.accept(); next != null; next = server.accept()) {
+                    accepted(next);
+                }
+                if (free) {
+                    server.close();
+                }
+            } catch (IOException e) {
+                LOG.warn("the listener did not close: {}", e.getMessage());
+            }
+            if (!free) {
+                loop.in(LOOK_US, this::letGo);
+            }
+        }
     }
 
     /** Opens a connection; the opening is told on the loop how that went. */
--- a/src/main/java/damsonslip/net/Room.java
+++ b/src/main/java/damsonslip/net/Room.java
@@ -13,8 +13,8 @@
  * {@link #coming} is called on the loop.
  */
 public final class Room<L extends Link> {
-    private final int most;
-    private final int overflow;
+    private volatile int most;
+    private volatile int overflow;
     private final Predicate<L> mayGo;
     private final Comparator<L> missed;
     private final Set<L> open = new LinkedHashSet<>();
@@ -33,6 +33,12 @@
         this.missed = missed;
     }
 
+    /** There is room for so many from now on; who is in stays until others come. */
+    public void resize(int stay, int more) {
+        most = stay;
+        overflow = more;
+    }
+
     /** Whether one more can be held at all. */
     public boolean mayAccept() {
         return held.get() < most + overflow;
--- a/src/main/java/damsonslip/operations/Operations.java
+++ b/src/main/java/damsonslip/operations/Operations.java
@@ -14,6 +14,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -22,9 +23,9 @@
 public final class Operations {
     private static final Logger LOG = LoggerFactory.getLogger(Operations.class);
 
-    /** Keeps bans where they outlive the process; does nothing where there is no such place. */
+    /** Carries out a change of the bans so that it outlives the process, where there is a place for that. */
     public interface Keeper {
-        void keep() throws IOException;
+        void change(Runnable change) throws IOException;
     }
 
     private final Phase phase;
@@ -54,15 +55,16 @@
         return changed(id, front.driver()::enable, id + " is used again");
     }
 
-    private Verdict changed(String id, java.util.function.Predicate<String> change, String done) {
-        if (!change.test(id)) {
-            return Verdict.no("no such worker: " + id);
-        }
+    private Verdict changed(String id, Predicate<String> change, String done) {
+        boolean[] known = new boolean[1];
         try {
-            keeper.keep();
+            keeper.change(() -> known[0] = change.test(id));
         } catch (IOException e) {
-            LOG.warn("bans hold, but could not be kept: {}", e.getMessage());
-            return Verdict.no("it holds here, but could not be kept for the next process");
+            LOG.warn("the bans cannot be kept: {}", e.getMessage());
+            return Verdict.no("it cannot be kept for other processes; say it again");
+        }
+        if (!known[0]) {
+            return Verdict.no("no such worker: " + id);
         }
         LOG.info("operator: {}", done);
         return Verdict.yes(done);
--- a/src/main/java/damsonslip/parting/Parting.java
+++ b/src/main/java/damsonslip/parting/Parting.java
@@ -30,6 +30,14 @@
         return new Parting(nowUs, 300_000, 700_000, 1_800_000);
     }
 
+    /**
+     * For a door that was shut long after the program was told to end: all that were kept have been asked to go, and who
+     * came at the last moment is about to ask.
+     */
+    public static Parting shut(long nowUs) {
+        return new Parting(nowUs, 0, 150_000, 300_000);
+    }
+
     /**
      * The verdict on one connection.
      *
--- a/src/main/java/damsonslip/parting/package-info.java
+++ b/src/main/java/damsonslip/parting/package-info.java
@@ -1,2 +1,5 @@
-/** When a client's connection is ended while clients are sent away, by an operator's drain or for a successor; no I/O, no clock. */
+/**
+ * When a client's connection is ended while clients are sent away, by an operator's drain or for a successor; no I/O,
+ * no clock.
+ */
 package damsonslip.parting;
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -8,6 +8,9 @@
 import damsonslip.core.Loop;
 import damsonslip.core.Phase;
 import damsonslip.core.Phase.State;
+import damsonslip.handover.Folder;
+import damsonslip.handover.Handover;
+import damsonslip.kin.Kin;
 import damsonslip.mgmt.Mgmt;
 import damsonslip.net.Address;
 import damsonslip.net.Links;
@@ -17,9 +20,10 @@
 import damsonslip.platform.servers.ServerSide;
 import damsonslip.settings.BadInput;
 import damsonslip.settings.NodeConfig;
-import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
 import java.util.Collections;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -40,6 +44,9 @@
     /** One part of so many is for connections that were accepted just now and for which others have yet to go. */
     private static final int OVERFLOW_PART = 8;
 
+    /** A start that takes longer has failed: the slowest machine needs a fifth of it. */
+    private static final long BEGIN_MS = 10_000;
+
     private final Loop loop;
     private final Phase phase;
     private final Counters counters;
@@ -48,7 +55,8 @@
     private final Driver driver;
     private ClientSide clients;
     private ServerSide servers;
-    private Closeable listener;
+    private Links.Door door;
+    private Handover handover;
 
     public Platform(Loop loop, Phase phase, Counters counters, NodeConfig config,
                     Map<String, String> environment) {
@@ -65,19 +73,79 @@
         InetSocketAddress listen = address("listen", config.listen());
         InetSocketAddress discovery = address("discovery", config.discovery());
         Links links = Links.start(loop, config.site().connectUs() / 1000);
-        int overflow = config.sockets() / OVERFLOW_PART;
-        int sockets = config.sockets() - OTHER_SOCKETS - overflow - (config.mgmt().isEmpty() ? 0 : Mgmt.SOCKETS);
-        clients = new ClientSide(links, config.site(), driver, phase, counters, sockets / 2, overflow);
-        servers = new ServerSide(links, config.site(), driver, counters, discovery, sockets / 2);
+        clients = new ClientSide(links, config.site(), driver, phase, counters, rest(1) / 2, overflow(1));
+        servers = new ServerSide(links, config.site(), driver, counters, discovery, rest(1) / 2);
         HostGroup.Update known = known(servers.hosts());
-        loop.execute(() -> {
-            driver.begin(servers, servers.begin(known));
-            phase.moveTo(State.SERVING);
-        });
-        listener = clients.listen(listen);
+        Folder folder = folder();
+        handover = folder == null ? null : new Handover(folder, loop, driver, this::divided);
+        loop.execute(() -> begin(known));
+        awaitServing();
+        door = clients.listen(listen, handover != null);
+        if (handover != null) {
+            folder.serving();
+        }
         LOG.info("{} listens on {}, {} workers known", config.name(), config.listen(), known.entries().size());
     }
 
+    private void begin(HostGroup.Update known) {
+        driver.begin(servers, servers.begin(known));
+        if (handover != null) {
+            handover.begin(); // the bans, and who else sends, before the first query
+        }
+        phase.moveTo(State.SERVING);
+    }
+
+    /** Nobody who comes shall have to wait for that; beside another process, those who come would be better off there. */
+    private void awaitServing() throws IOException {
+        try {
+            if (!phase.await(State.SERVING, BEGIN_MS)) {
+                throw new IOException("not ready to serve after " + BEGIN_MS + " ms");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    /** The folder where processes of one scheduler meet, if there may be another one. */
+    private Folder folder() throws BadInput {
+        String path = environment.getOrDefault("TMPDIR", "");
+        if (config.mgmt().isBlank() || path.isBlank()) {
+            return null;
+        }
+        try {
+            return new Folder(Path.of(path));
+        } catch (IOException | InvalidPathException e) {
+            throw new BadInput("config: TMPDIR: cannot be used: " + e.getMessage());
+        }
+    }
+
+    private int overflow(int processes) {
+        return config.sockets() / processes / OVERFLOW_PART;
+    }
+
+    /** Descriptors for clients' and workers' connections, where so many processes share those of one scheduler. */
+    private int rest(int processes) {
+        int others = OTHER_SOCKETS + (config.mgmt().isEmpty() ? 0 : Mgmt.SOCKETS);
+        return config.sockets() / processes - others - overflow(processes);
+    }
+
+    private void divided(Kin kin) {
+        driver.divided(kin);
+        clients.resize(rest(kin.processes()) / 2, overflow(kin.processes()));
+        servers.resize(rest(kin.processes()) / 2);
+        clients.succeeded(kin.succeeded());
+    }
+
+    /** Bans hold in all processes of this scheduler, where there may be several. */
+    public void change(Runnable bans) throws IOException {
+        if (handover == null) {
+            bans.run();
+        } else {
+            handover.change(bans);
+        }
+    }
+
     private static InetSocketAddress address(String name, String text) throws BadInput {
         try {
             return Address.parse(text);
@@ -123,7 +191,8 @@
             clients.answerBy(loop.now() + LAST_ANSWER_US);
             loop.in(LAST_ANSWER_US, driver::answerAll);
         });
-        loop.execute(() -> new Leave(loop, phase, LEAVING_US, longest, this::shut, this::done).begin());
+        loop.execute(() -> new Leave(loop, phase, LEAVING_US, longest, this::succeeded, this::shut,
+            this::done).begin());
     }
 
     @Override
@@ -140,17 +209,24 @@
         clients.stay();
     }
 
+    private boolean succeeded() {
+        return handover != null && handover.look().succeeded();
+    }
+
     private void shut() {
-        try {
-            listener.close();
-        } catch (IOException e) {
-            LOG.warn("the listener did not close: {}", e.getMessage());
-        }
+        door.shut();
+        clients.sendAway(succeeded() ? Parting.succeeded(loop.now()) : Parting.shut(loop.now()));
     }
 
     private boolean done() {
-        clients.closeIdle();
-        return driver.open() == 0 && clients.busy() == 0;
+        return driver.open() == 0 && clients.gone();
+    }
+
+    @Override
+    public void close() {
+        if (handover != null) {
+            loop.execute(handover::close);
+        }
     }
 
     @Override
--- a/src/main/java/damsonslip/platform/clients/ClientLink.java
+++ b/src/main/java/damsonslip/platform/clients/ClientLink.java
@@ -132,7 +132,7 @@
                 Exchange taken = side.take(head.query(side.site(), side.loop().now(), side.mostLeftUs()), this);
                 exchange = taken.closed() ? null : taken;
             }
-            case "/healthz" -> reply(side.ready() ? 200 : 503, side.ready() ? "ok" : "leaving", HttpFields.build());
+            case "/healthz" -> reply(side.healthy() ? 200 : 503, side.healthy() ? "ok" : "leaving", HttpFields.build());
             default -> throw new QueryHead.Bad(404, "no such path");
         }
     }
--- a/src/main/java/damsonslip/platform/clients/ClientSide.java
+++ b/src/main/java/damsonslip/platform/clients/ClientSide.java
@@ -13,7 +13,6 @@
 import damsonslip.net.Room;
 import damsonslip.parting.Parting;
 import damsonslip.settings.Site;
-import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Comparator;
@@ -37,6 +36,7 @@
     private final Room<ClientLink> room;
     private long latestUs = Long.MAX_VALUE;
     private Parting parting;
+    private boolean succeeded;
     /** The ids of the queries taken lately, the oldest first. */
     private final Map<String, Boolean> taken = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -59,14 +59,14 @@
             .thenComparingLong(link -> link.idleSinceUs));
     }
 
-    /** Accepts connections from now on. */
-    public Closeable listen(InetSocketAddress address) throws IOException {
-        return links.listen(address, this);
+    /** Accepts connections from now on, beside another process where the address is shared. */
+    public Links.Door listen(InetSocketAddress address, boolean shared) throws IOException {
+        return links.open(address, this, shared);
     }
 
-    /** Ends the connections on which nothing is under way; the rest end with their answers. */
-    public void closeIdle() {
-        List.copyOf(room.all()).forEach(ClientLink::endIfIdle);
+    /** There is room for so many connections from now on. */
+    public void resize(int mostLinks, int overflow) {
+        room.resize(mostLinks, overflow);
     }
 
     /** Ends connections by this rule, until {@link #stay}; one that holds already stays as it is. */
@@ -89,9 +89,18 @@
         }
     }
 
-    /** How many connections still owe an answer; one on which a query has only begun owes none. */
-    public int busy() {
-        return (int) room.all().stream().filter(ClientLink::busy).count();
+    /** Whether no client's connection is left but to say goodbye. */
+    public boolean gone() {
+        return room.all().stream().allMatch(Link::isParting);
+    }
+
+    /** Another process of this scheduler takes what comes: to the front, the address goes on being healthy. */
+    public void succeeded(boolean so) {
+        succeeded = so;
+    }
+
+    boolean healthy() {
+        return ready() || succeeded && phase.atLeast(State.LEAVING);
     }
 
     @Override
--- a/src/main/java/damsonslip/platform/servers/ServerSide.java
+++ b/src/main/java/damsonslip/platform/servers/ServerSide.java
@@ -37,7 +37,7 @@
     private final Site site;
     private final Driver driver;
     private final Counters counters;
-    private final int most;
+    private int most;
     private final HostGroup hosts;
     private final Discovery discovery;
     private final Map<String, ArrayDeque<ServerLink>> idle = new HashMap<>();
@@ -56,6 +56,14 @@
         this.discovery = new Discovery(links, discovery, hosts, driver);
     }
 
+    /** There is room for so many links from now on; idle ones beyond that go. */
+    public void resize(int mostLinks) {
+        most = mostLinks;
+        List<ServerLink> spare = idle.values().stream().flatMap(ArrayDeque::stream)
+            .sorted(Comparator.comparingLong(link -> link.idleSinceUs)).limit(Math.max(0, open.size() - most)).toList();
+        spare.forEach(Link::end);
+    }
+
     /** The list that the scheduler had before its start, for the decisions to begin from. */
     public List<Worker> begin(HostGroup.Update known) {
         links.loop().in(SWEEP_US, this::sweep);
--- a/src/main/java/damsonslip/program/Serve.java
+++ b/src/main/java/damsonslip/program/Serve.java
@@ -33,9 +33,12 @@
             Front front;
             String console;
             Mgmt mgmt = null;
+            Operations.Keeper keeper = Runnable::run;
             if (file == null) {
                 NodeConfig config = NodeConfig.read(environment);
-                front = new Platform(loop, phase, counters, config, environment);
+                Platform platform = new Platform(loop, phase, counters, config, environment);
+                front = platform;
+                keeper = platform::change;
                 if (!config.mgmt().isBlank()) {
                     mgmt = new Mgmt(loop);
                     mgmt.listen(config.mgmt()); // before clients find the door open: one that is taken ends the program
@@ -47,7 +50,7 @@
                 console = config.console();
             }
             front.start();
-            Operations operations = new Operations(phase, counters, front, () -> { });
+            Operations operations = new Operations(phase, counters, front, keeper);
             if (mgmt != null) {
                 Mgmt second = mgmt;
                 loop.execute(() -> second.serves(operations));
--- a/src/test/java/damsonslip/platform/DailyRunningTest.java
+++ b/src/test/java/damsonslip/platform/DailyRunningTest.java
@@ -24,10 +24,6 @@
     };
     private final int mgmt = Program.freePort();
 
-    private static String mgmt(int port) {
-        return "\"mgmt\":\"127.0.0.1:" + port + "\",";
-    }
-
     private void startWithMgmt(String... entries) throws IOException {
         program = new Program(config(list(7, true, entries), mgmt(mgmt)), "serve").awaitWord("listens on");
         Program.await("it is ready", () -> call("READY").startsWith("YES"));
@@ -37,21 +33,6 @@
         return call(mgmt, line);
     }
 
-    /** The whole answer, which has to come within a second. */
-    private static String call(int port, String line) {
-        long before = System.nanoTime();
-        try (Peer caller = Peer.connect(port).send(line + "\n")) {
-            StringBuilder told = new StringBuilder();
-            for (String next = caller.line(); next != null; next = caller.line()) {
-                told.append(next).append('\n');
-            }
-            assertTrue(System.nanoTime() - before < TimeUnit.SECONDS.toNanos(1), line + " took a second");
-            return told.toString();
-        } catch (IOException e) {
-            return e.toString();
-        }
-    }
-
     private Map<String, String> figures() {
         String text = call("STATS");
         assertTrue(text.endsWith("\nEND\n"), text);
--- a/src/test/java/damsonslip/platform/PlatformStage.java
+++ b/src/test/java/damsonslip/platform/PlatformStage.java
@@ -1,5 +1,7 @@
 package damsonslip.platform;
 
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
 import damsonslip.kit.Peer;
 import damsonslip.kit.Peer.Message;
 import damsonslip.kit.Program;
@@ -10,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.io.TempDir;
@@ -113,7 +116,8 @@
 
     /** A configuration with more keys in front. */
     Path config(String known, String more) throws IOException {
-        return Program.file(dir, "{" + more + "\"name\":\"n1\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
+        return Program.file(dir, "{" + more
+            + "\"name\":\"n1\",\"listen\":\"127.0.0.1:" + port + "\",\"discovery\":\"127.0.0.1:"
             + discovery.port() + "\",\"seed\":\"8c1f30d27a5be964\",\"limits\":{\"sockets\":1024},\"known\":" + known
             + ",\"settings\":{\"instances\":1,\"azs\":[\"z\"],\"shapes\":[\"k\"],"
             + "\"registry_mode\":\"on_request\",\"lanes\":["
@@ -141,4 +145,23 @@
     int jobs(String... workers) {
         return List.of(workers).stream().mapToInt(w -> got.get(w).size()).sum();
     }
+
+    static String mgmt(int port) {
+        return "\"mgmt\":\"127.0.0.1:" + port + "\",";
+    }
+
+    /** The whole answer, which has to come within a second. */
+    static String call(int port, String line) {
+        long before = System.nanoTime();
+        try (Peer caller = Peer.connect(port).send(line + "\n")) {
+            StringBuilder told = new StringBuilder();
+            for (String next = caller.line(); next != null; next = caller.line()) {
+                told.append(next).append('\n');
+            }
+            assertTrue(System.nanoTime() - before < TimeUnit.SECONDS.toNanos(1), line + " took a second");
+            return told.toString();
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/damsonslip/platform/UpgradeTest.java
@@ -0,0 +1,232 @@
+package damsonslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.Peer;
+import damsonslip.kit.Peer.Message;
+import damsonslip.kit.Program;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** {@code run} started again beside the old process: to clients and workers it stays one scheduler. */
+class UpgradeTest extends PlatformStage {
+    private final List<Program> programs = new ArrayList<>();
+    private final int first = Program.freePort();
+    private final int second = Program.freePort();
+
+    @AfterEach
+    void endAll() {
+        programs.forEach(Program::close);
+    }
+
+    private Program start(int mgmt, String... entries) throws IOException {
+        Program started = new Program(config(list(7, true, entries), mgmt(mgmt)), "serve");
+        programs.add(started);
+        Program.await("it is ready, but: " + started.said(), () -> call(mgmt, "READY").startsWith("YES"));
+        return started;
+    }
+
+    private boolean marked(int number) {
+        return Files.exists(dir.resolve("damsonslip-mark-" + number));
+    }
+
+    /** Clients that come and go and one that keeps its connection, until the flag is set; gives what went wrong. */
+    private Thread load(List<String> wrong, AtomicInteger served, boolean keep, String name, boolean[] over) {
+        Thread thread = new Thread(() -> {
+            Peer client = null;
+            for (int i = 0; !over[0]; i++) {
+                try {
+                    client = client == null ? Peer.connect(port) : client;
+                    Message answer = client.send(query(name + i, "read", "4000m")).message();
+                    if (answer.status() != 200) {
+                        wrong.add(name + i + ": " + answer.first());
+                    }
+                    served.incrementAndGet();
+                    if (!keep || "close".equals(answer.field("Connection"))) {
+                        client.close();
+                        client = null;
+                    }
+                    Thread.sleep(5);
+                } catch (IOException | InterruptedException e) {
+                    wrong.add(name + i + ": " + e);
+                    client = null;
+                }
+            }
+        });
+        thread.start();
+        return thread;
+    }
+
+    @Test
+    void anUpgradeUnderLoadTurnsNobodyBack() throws Exception {
+        Work quick = (peer, job) -> {
+            Thread.sleep(20);
+            SERVE.on(peer, job);
+        };
+        String[] workers = {worker("a", quick), worker("b", quick), worker("c", quick), worker("d", quick)};
+        Program old = start(first, workers);
+        List<String> wrong = new java.util.concurrent.CopyOnWriteArrayList<>();
+        AtomicInteger served = new AtomicInteger();
+        boolean[] over = new boolean[1];
+        List<Thread> clients = List.of(load(wrong, served, false, "new-", over), load(wrong, served, false, "more-", over),
+            load(wrong, served, true, "kept-", over), load(wrong, served, true, "held-", over));
+        Thread.sleep(500);
+        Program next = start(second, workers);
+        assertTrue(call(first, "READY").startsWith("YES"), "the old one serves until it is told to end");
+        old.terminate();
+        assertEquals(143, old.exit(4));
+        assertTrue(old.said().contains("a successor serves"), old.said());
+        Thread.sleep(300);
+        over[0] = true;
+        for (Thread client : clients) {
+            client.join(5_000);
+        }
+        assertEquals(List.of(), wrong);
+        assertTrue(served.get() > 100, served + " served");
+        assertEquals(200, ask("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").status());
+        Program.await("the new one is alone", () -> next.said().contains("processes of this scheduler: 1"));
+    }
+
+    /** While both live, an idle connection at the old one finds it healthy, and is ended soon after its end is told. */
+    @Test
+    void theOldOneLeavesAtOnceAndKeepsTheFrontSatisfied() throws Exception {
+        String a = worker("a", (peer, job) -> {
+            Thread.sleep(1_000);
+            SERVE.on(peer, job);
+        });
+        Program old = start(first, a);
+        Peer idle = Peer.connect(port).send("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
+        assertEquals(200, idle.message().status());
+        Peer asking = Peer.connect(port).send("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n");
+        assertEquals(200, asking.message().status());
+        Peer busy = Peer.connect(port).send(query("q1", "submit", "4000m"));
+        Program.await("it is sent", () -> jobs("a") == 1);
+        start(second, a);
+        old.terminate();
+        Program.await("it leaves", () -> call(first, "READY").startsWith("NO"));
+        Message health = asking.send("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n").message();
+        assertEquals(200, health.status(), "the address is served, if by another process");
+        assertEquals("close", health.field("Connection"));
+        assertEquals("r-q1", busy.message().body());
+        assertTrue(idle.closed());
+        assertEquals(143, old.exit(3));
+    }
+
+    /** The bans hold in both from the yes on, whichever process was called, and in the new one alone. */
+    @Test
+    void aBanOutlivesAnUpgradeAndACallAtEitherHoldsInBoth() throws Exception {
+        String a = worker("a", SERVE);
+        String b = worker("b", SERVE);
+        String c = worker("c", SERVE);
+        Program old = start(first, a, b, c);
+        assertTrue(call(first, "DISABLE a").startsWith("YES"));
+        start(second, a, b, c);
+        assertTrue(call(second, "DISABLE b").startsWith("YES"));
+        Program.await("the old one has heard", () -> call(first, "STATS").contains("router.targets_disabled:2|g"));
+        for (int i = 0; i < 20; i++) {
+            assertEquals(200, ask(query("q" + i, "read", "2000m")).status());
+        }
+        assertEquals(0, jobs("a", "b"));
+        assertTrue(call(first, "ENABLE b").startsWith("YES"));
+        Program.await("the new one has heard", () -> call(second, "STATS").contains("router.targets_disabled:1|g"));
+        old.terminate();
+        old.exit(4);
+        assertTrue(call(second, "DISABLE c").startsWith("YES"));
+        for (int i = 0; i < 5; i++) {
+            assertEquals(200, ask(query("r" + i, "read", "2000m")).status());
+        }
+        assertEquals(0, jobs("a"));
+        assertTrue(jobs("b") > 0, "put back at the old one");
+    }
+
+    @Test
+    void aSuccessorThatFailsToStartChangesNothing() throws Exception {
+        String a = worker("a", SERVE);
+        Program old = start(first, a);
+        try (Program failing = new Program(config(list(7, true, a), mgmt(first)), "serve")) {
+            assertEquals(1, failing.exit(), "the second address is taken");
+            assertEquals(1, failing.said().lines().count(), failing.said());
+        }
+        assertEquals(200, ask(query("q1", "read", "2000m")).status());
+        old.terminate();
+        Thread.sleep(300);
+        assertEquals(200, ask(query("q2", "read", "2000m")).status(), "without a successor the door stays open");
+        assertEquals(143, old.exit());
+        assertFalse(old.said().contains("a successor serves"), old.said());
+    }
+
+    @Test
+    void whenTheOldOneIsKilledTheNewOneHasEverythingToItself() throws Exception {
+        String a = worker("a", SERVE);
+        Program old = start(first, a);
+        Program next = start(second, a).awaitWord("processes of this scheduler: 2, this one is number 1");
+        old.awaitWord("processes of this scheduler: 2, this one is number 0, a successor serves");
+        old.kill();
+        Program.await("it knows", () -> next.said().contains("processes of this scheduler: 1"));
+        for (int i = 0; i < 10; i++) {
+            assertEquals(200, ask(query("q" + i, "read", "2000m")).status());
+        }
+    }
+
+    /** The younger one dies after it has served: the older one takes all of it back, and leaves later as if alone. */
+    @Test
+    void whenTheNewOneDiesTheOldOneServesOn() throws Exception {
+        String a = worker("a", SERVE);
+        Program old = start(first, a);
+        Program next = start(second, a);
+        old.awaitWord("a successor serves");
+        next.kill();
+        old.awaitWord("processes of this scheduler: 1");
+        for (int i = 0; i < 10; i++) {
+            assertEquals(200, ask(query("q" + i, "read", "2000m")).status());
+        }
+        int third = Program.freePort();
+        start(third, a);
+        old.terminate();
+        assertEquals(143, old.exit(3));
+        assertEquals(200, ask(query("last", "read", "2000m")).status());
+        assertFalse(marked(1), "no mark of it stays");
+    }
+
+    @Test
+    void twoUpgradesInARowAndAHangUpToBoth() throws Exception {
+        String a = worker("a", SERVE);
+        Program one = start(first, a);
+        Program two = start(second, a);
+        one.reload(null).awaitWord("reload: discovery is at");
+        two.reload(null).awaitWord("reload: discovery is at");
+        one.terminate();
+        int third = Program.freePort();
+        start(third, a);
+        two.terminate();
+        assertEquals(143, one.exit(4));
+        assertEquals(143, two.exit(4));
+        for (int i = 0; i < 5; i++) {
+            assertEquals(200, ask(query("q" + i, "read", "2000m")).status());
+        }
+    }
+
+    @Test
+    void spoiltBansAreToldInOneLineAndTheStartGoesOn() throws Exception {
+        for (String text : List.of("damsonslip bans 0\nout a\nend\n", "\u0000\u0001", "damsonslip bans 1\nout a")) {
+            Files.writeString(dir.resolve("damsonslip-bans"), text);
+            try (Program started = start(Program.freePort(), worker("a", SERVE))) {
+                assertEquals(1, started.said().lines().filter(line -> line.contains("bans cannot be used")).count(),
+                    started.said());
+                assertEquals(200, ask(query("q" + text.hashCode(), "read", "2000m")).status());
+            }
+        }
+        try (Stream<Path> files = Files.list(dir)) {
+            assertTrue(files.noneMatch(file -> file.toString().endsWith(".part")));
+        }
+    }
+}
