--- a/src/main/java/damsonslip/faktory/Consumers.java
+++ b/src/main/java/damsonslip/faktory/Consumers.java
@@ -338,6 +338,7 @@
             return;
         }
         counters.add(Count.FETCHES_ANSWERED);
+        counters.add(Count.EXECUTIONS_WRITTEN); // the reply goes to the link whole, and here is what may have run
         held.handedOut = true;
         job.ran = true;
         job.failure = null;
--- a/src/main/java/damsonslip/faktory/FaktoryConfig.java
+++ b/src/main/java/damsonslip/faktory/FaktoryConfig.java
@@ -26,6 +26,7 @@
  * @param store         {@code redis://host:port}, or {@code memory}
  * @param storePassword the store's password, or empty
  * @param console       where the console connects, or empty
+ * @param mgmt          where the operators' tools call, or empty
  * @param links         how many connections it holds at the most
  * @param longestLine   the longest line that a peer may send, in bytes
  * @param leastReserveS a job's shorter {@code reserve_for} is raised to this, in seconds
@@ -36,7 +37,7 @@
  * @param site          classes, limits and the figures of the rules
  */
 public record FaktoryConfig(String name, String listen, String password, String store, String storePassword,
-                            String console, int links, int longestLine, int leastReserveS, boolean fair,
+                            String console, String mgmt, int links, int longestLine, int leastReserveS, boolean fair,
                             Ledger.Limits waiting, Pace.Limits peers, Routes routes, Site site) {
     private static final int LINKS = 800;
     /** A thousand jobs of a kilobyte each, as the official clients push them in bulk. */
@@ -66,6 +67,7 @@
                 whole(jobs, "dead", DEAD, 0), TimeUnit.DAYS.toMillis(whole(jobs, "dead_days", DEAD_DAYS, 0)));
             return new FaktoryConfig(text(root, "name"), text(root, "listen"), root.path("password").asText(""),
                 store, root.path("store_password").asText(""), root.path("console").asText(""),
+                root.path("mgmt").asText(""),
                 whole(root, "links", LINKS, 1), whole(root, "longest_line", LONGEST_LINE, 1024),
                 whole(jobs, "least_reserve_s", LEAST_RESERVE_S, 1), fair(jobs),
                 limits, peers(root), routes(root, jobs, site), site);
--- a/src/main/java/damsonslip/faktory/Workshop.java
+++ b/src/main/java/damsonslip/faktory/Workshop.java
@@ -197,6 +197,7 @@
     /** All jobs are here: what became due before the stop, or by it, goes on. */
     void ready() {
         ready = true;
+        batches.recount();
         batches.unfinished().forEach(this::push);
         batches.all().forEach(batch -> settle(batch.bid()));
         batches.forget(desk.nowMs()).forEach(this::drop);
--- a/src/main/java/damsonslip/faktory/sets/Batches.java
+++ b/src/main/java/damsonslip/faktory/sets/Batches.java
@@ -96,6 +96,14 @@
         return change(all.get(bid).total(all.get(bid).total() + 1));
     }
 
+    /**
+     * All jobs are taken up from the store again: no batch has fewer than are there. Guards against a stop between a
+     * job's record, after which its push is acknowledged, and the batch's own, which follows.
+     */
+    public void recount() {
+        all.replaceAll((bid, batch) -> batch.total(Math.max(batch.total(), ledger.tally(bid).open)));
+    }
+
     /** Opens it for further jobs; null if it cannot be any more, since its end has been told already. */
     public Batch open(String bid) {
         Batch batch = all.get(bid);
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -26,6 +26,8 @@
 import java.nio.file.Path;
 import java.util.Collections;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -47,6 +49,9 @@
     /** A start that takes longer has failed: the slowest machine needs a fifth of it. */
     private static final long BEGIN_MS = 10_000;
 
+    /** The exit waits so long at the most for its mark to go. */
+    private static final long LAST_TASK_MS = 100;
+
     private final Loop loop;
     private final Phase phase;
     private final Counters counters;
@@ -224,8 +229,18 @@
 
     @Override
     public void close() {
-        if (handover != null) {
-            loop.execute(handover::close);
+        if (handover == null) {
+            return;
+        }
+        CountDownLatch done = new CountDownLatch(1);
+        loop.execute(() -> {
+            handover.close();
+            done.countDown();
+        });
+        try {
+            done.await(LAST_TASK_MS, TimeUnit.MILLISECONDS); // a mark that stays is harmless: nobody holds its lock
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
--- a/src/main/java/damsonslip/program/Serve.java
+++ b/src/main/java/damsonslip/program/Serve.java
@@ -32,34 +32,33 @@
         try {
             Front front;
             String console;
-            Mgmt mgmt = null;
+            String second;
             Operations.Keeper keeper = Runnable::run;
             if (file == null) {
                 NodeConfig config = NodeConfig.read(environment);
                 Platform platform = new Platform(loop, phase, counters, config, environment);
                 front = platform;
                 keeper = platform::change;
-                if (!config.mgmt().isBlank()) {
-                    mgmt = new Mgmt(loop);
-                    mgmt.listen(config.mgmt()); // before clients find the door open: one that is taken ends the program
-                }
+                second = config.mgmt();
                 console = environment.getOrDefault("DAMSONSLIP_CONSOLE", "");
             } else {
                 FaktoryConfig config = FaktoryConfig.read(file);
                 front = new Faktory(loop, phase, counters, config, file);
                 console = config.console();
+                second = config.mgmt();
+            }
+            Mgmt mgmt = new Mgmt(loop);
+            if (!second.isBlank()) {
+                mgmt.listen(second); // before clients find the door open: one that is taken ends the program
             }
             front.start();
             Operations operations = new Operations(phase, counters, front, keeper);
-            if (mgmt != null) {
-                Mgmt second = mgmt;
-                loop.execute(() -> second.serves(operations));
-            }
             if (!console.isBlank()) {
                 new Control(loop, counters, front, operations).listen(console);
             }
             hangUp.then(front::reload);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(front, phase, counters), "stop"));
+            loop.execute(() -> mgmt.serves(operations)); // whoever hears yes may send any signal
         } catch (BadInput | IOException e) {
             loop.stop();
             throw e;
--- a/src/test/java/damsonslip/console/ConsoleTest.java
+++ b/src/test/java/damsonslip/console/ConsoleTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import damsonslip.kit.FaktoryPeer;
+import damsonslip.kit.Peer;
 import damsonslip.kit.Program;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -18,6 +19,7 @@
     Path dir;
     private final int port = Program.freePort();
     private final int console = Program.freePort();
+    private final int mgmt = Program.freePort();
 
     private String ask(String... command) throws IOException, InterruptedException {
         String[] arguments = new String[command.length + 2];
@@ -30,11 +32,17 @@
         }
     }
 
+    private String call(String line) throws IOException {
+        try (Peer caller = Peer.connect(mgmt).send(line + "\n")) {
+            return caller.line();
+        }
+    }
+
     @Test
     void anOperatorSeesHowThingsStandAndDrainsAWorker() throws Exception {
         String file = Files.readString(Path.of("deploy/faktory.toml")).replace("127.0.0.1:7419", "127.0.0.1:" + port)
             .replace("redis://127.0.0.1:6379", "memory").replace("127.0.0.1:7420", "127.0.0.1:" + console)
-            .replace("cold_share = 1.0", "cold_share = 0.9");
+            .replace("mgmt = \"\"", "mgmt = \"127.0.0.1:" + mgmt + "\"").replace("cold_share = 1.0", "cold_share = 0.9");
         try (Program program = new Program(null, "serve", Program.file(dir, file).toString())
                  .awaitWord("taken up from the store");
              FaktoryPeer worker = new FaktoryPeer(port, "w1", ""); FaktoryPeer producer = new FaktoryPeer(port, "", "")) {
@@ -45,6 +53,10 @@
             assertTrue(ask("queues").matches("(?s).*apply-submit +1 +0 +[0-9]+.*"), ask("queues"));
             assertTrue(ask("counters").matches("(?s).*queries_taken +1\n.*"), ask("counters"));
             assertEquals("serving\n", ask("phase"));
+            assertEquals("YES serving", call("READY"));
+            assertEquals("router.success.status-read:0|c", call("STATS"), "the same figures as the console's");
+            assertTrue(ask("stats").matches("(?s).*dispatches +1\n.*concurrent +1\n.*targets +1\n.*"), ask("stats"));
+            assertTrue(call("DRAIN").startsWith("NO "), "a producer has no word that sends it elsewhere");
             assertEquals("no such worker: w9\n", ask("disable", "w9"));
             assertEquals("w1 gets nothing new\n", ask("disable", "w1"));
             assertTrue(ask("jump").startsWith("unknown command: jump"));
--- a/src/test/java/damsonslip/faktory/sets/BatchesTest.java
+++ b/src/test/java/damsonslip/faktory/sets/BatchesTest.java
@@ -54,6 +54,19 @@
         assertEquals("[]", due("b"));
     }
 
+    /** The stop came after a job was kept and before its batch was. */
+    @Test
+    void aBatchHasAtLeastTheJobsThatTheStoreHas() {
+        batch("b", "");
+        job("one", "b");
+        job("two", "b");
+        batches.recount();
+        assertEquals(2, batches.get("b").total());
+        assertEquals(3, batches.pushed("b").total());
+        batches.recount();
+        assertEquals(3, batches.get("b").total(), "one that was done already is not forgotten");
+    }
+
     @Test
     void aJobThatDiesKeepsSuccessAwayUntilItIsDoneAfterAll() {
         batch("b", "");
