Let go of clients that do not read and of uploads that stand still; measure the loop's waits

Seen: an answer that a client never reads holds its link, its place and its bytes for ever (ClientLink.reply wrote and waited; only idle links and unfinished heads had a time), and a worker that stops reading in mid-upload held its query to its deadline although the last byte had never left (ServerLink.begin had no time of its own): 504 after 4 s in the new test.

Design: - net.Outflow watches a message that the system did not take at once, by the bytes it has not taken, with pace.Pace for the verdict; usual messages are taken at once and set nothing up. Readers: 5 s grace, 2 KB/s. Uploads: 0.5 s, 32 KB/s, ended before the last byte, so that the query goes elsewhere whatever its class. - SO_SNDBUF of 16 KB to workers and 64 KB to clients, so that 'written' lies near the peer and bytes do not hide in the system. - pace.Budget, pure: answers that wait hold an eighth of the heap; beyond, who holds most for least progress goes. - core.Waits: a histogram (HdrHistogram) of how long tasks waited for the loop; 'waits' in the console. Rejected: a total time for an answer (a weak link with a large one would be cut off while it moves).

--- a/src/main/java/damsonslip/console/Control.java
+++ b/src/main/java/damsonslip/console/Control.java
@@ -5,6 +5,7 @@
 import damsonslip.core.Counters;
 import damsonslip.core.Front;
 import damsonslip.core.Loop;
+import damsonslip.core.Waits;
 import damsonslip.net.Address;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
@@ -71,6 +72,7 @@
             case "workers" -> workers();
             case "pools" -> pools(front.driver().pools());
             case "queues" -> queues(front.driver().pools());
+            case "waits" -> waits();
             case "counters" -> counters();
             case "phase" -> operations.ready().words();
             case "stats" -> figures();
@@ -118,6 +120,13 @@
         return text.toString();
     }
 
+    private String waits() {
+        Waits waits = loop.waits();
+        return row("%-10s %9s %9s %9s %9s", "tasks", "50% ms", "99% ms", "99.9% ms", "most ms")
+            .append(row("%-10d %9.2f %9.2f %9.2f %9.2f", waits.count(), waits.percentileUs(50) / 1e3,
+                waits.percentileUs(99) / 1e3, waits.percentileUs(99.9) / 1e3, waits.longestUs() / 1e3)).toString();
+    }
+
     private String counters() {
         StringBuilder text = new StringBuilder();
         counters.each((name, count) -> text.append(row("%-26s %10d", name, count)));
--- a/src/main/java/damsonslip/core/Loop.java
+++ b/src/main/java/damsonslip/core/Loop.java
@@ -19,6 +19,8 @@
         return t;
     });
 
+    private final Waits waits = new Waits();
+
     public Loop() {
         thread.setRemoveOnCancelPolicy(true);
         thread.setExecuteExistingDelayedTasksAfterShutdownPolicy(false);
@@ -30,7 +32,7 @@
 
     public void execute(Runnable task) {
         if (!thread.isShutdown()) {
-            thread.execute(guarded(task));
+            thread.execute(guarded(task, System.nanoTime()));
         }
     }
 
@@ -39,7 +41,8 @@
         if (thread.isShutdown()) {
             return () -> { };
         }
-        var set = thread.schedule(guarded(task), Math.max(0, timeUs - now()), TimeUnit.MICROSECONDS);
+        long inUs = Math.max(0, timeUs - now());
+        var set = thread.schedule(guarded(task, System.nanoTime() + inUs * 1000), inUs, TimeUnit.MICROSECONDS);
         return () -> set.cancel(false);
     }
 
@@ -47,6 +50,11 @@
         return at(now() + us, task);
     }
 
+    /** How long tasks have waited for their turn; read on the loop. */
+    public Waits waits() {
+        return waits;
+    }
+
     /** The thread itself, for a library that keeps its own timers. */
     public ScheduledThreadPoolExecutor executor() {
         return thread;
@@ -57,9 +65,10 @@
     }
 
     /** Guards against one faulty event taking the thread, and with it every other query, down. */
-    private static Runnable guarded(Runnable task) {
+    private Runnable guarded(Runnable task, long dueNs) {
         return () -> {
             try {
+                waits.add((System.nanoTime() - dueNs) / 1000);
                 task.run();
             } catch (RuntimeException e) {
                 LOG.error("a task failed and was dropped", e);
--- a/src/main/java/damsonslip/net/Link.java
+++ b/src/main/java/damsonslip/net/Link.java
@@ -30,6 +30,8 @@
     private final ByteBuffer in = BufferUtil.allocate(IN_BUFFER);
     private final ArrayDeque<Out> out = new ArrayDeque<>();
     private boolean writing;
+    /** What is being written; its buffers show what the system has not taken yet. */
+    private ByteBuffer[] current = {};
     private boolean closed;
     private boolean closeWhenWritten;
     private boolean parting;
@@ -110,9 +112,10 @@
         writeNext();
     }
 
-    /** Bytes that wait to be written. */
+    /** Bytes that the system has not taken yet. */
     protected final long backlog() {
-        return out.stream().mapToLong(next -> BufferUtil.remaining(next.bytes())).sum();
+        return (writing ? BufferUtil.remaining(current) : 0)
+            + out.stream().mapToLong(next -> BufferUtil.remaining(next.bytes())).sum();
     }
 
     private void writeNext() {
@@ -127,6 +130,7 @@
             return;
         }
         writing = true;
+        current = next.bytes();
         Written done = new Written(next.written());
         getEndPoint().write(done, next.bytes());
         done.settle();
--- a/src/main/java/damsonslip/net/Links.java
+++ b/src/main/java/damsonslip/net/Links.java
@@ -26,6 +26,13 @@
 public final class Links extends SelectorManager {
     private static final Logger LOG = LoggerFactory.getLogger(Links.class);
     private static final int BACKLOG = 512;
+    /**
+     * What the system may hold of a message for a server that does not take it. Small, so that the last byte of a large
+     * one has not left while the peer stands still; a head and the usual body fit in several times.
+     */
+    private static final int SEND_BUFFER = 16 * 1024;
+    /** The same for peers that connect to us, whose links are longer: 0.6 MB/s at 0.1 s, and any usual answer whole. */
+    private static final int ANSWER_BUFFER = 64 * 1024;
 
     private final Loop loop;
     private final Map<SocketAddress, Accepting> accepting = new ConcurrentHashMap<>();
@@ -151,6 +158,7 @@
             channel = SocketChannel.open();
             channel.configureBlocking(false);
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            channel.setOption(StandardSocketOptions.SO_SNDBUF, SEND_BUFFER);
             if (channel.connect(address)) {
                 accept(channel, opening);
             } else {
@@ -172,6 +180,7 @@
         }
         accepted.configureBlocking(false);
         accepted.setOption(StandardSocketOptions.TCP_NODELAY, true);
+        accepted.setOption(StandardSocketOptions.SO_SNDBUF, ANSWER_BUFFER);
         accept(channel, taker);
     }
 
--- a/src/main/java/damsonslip/platform/clients/ClientLink.java
+++ b/src/main/java/damsonslip/platform/clients/ClientLink.java
@@ -5,6 +5,8 @@
 import damsonslip.core.Exchange;
 import damsonslip.core.Loop;
 import damsonslip.net.Link;
+import damsonslip.net.Outflow;
+import damsonslip.pace.Pace;
 import damsonslip.parting.Parting;
 import damsonslip.platform.http.Encoder;
 import java.nio.ByteBuffer;
@@ -20,6 +22,14 @@
     /** Within this time of the connection's start, or of its first bytes, a query has to be whole. */
     private static final long WHOLE_US = 2_000_000;
 
+    /**
+     * How a client has to read its answer: nothing may move for 5 s at first; later for as long as what it has read is
+     * worth at 2 KB/s, a weak mobile link. An answer that fits into the system's buffers is taken at once, whatever the
+     * client does.
+     */
+    private static final Pace.Limits READING = new Pace.Limits(5_000_000, 10_000_000, 2 * 1024);
+
+    private final Outflow reading;
     private final ClientSide side;
     private final QueryReader reader = new QueryReader();
     private Exchange exchange;
@@ -36,6 +46,7 @@
     ClientLink(EndPoint endPoint, ClientSide side) {
         super(endPoint, side.loop());
         this.side = side;
+        this.reading = new Outflow(side.loop(), READING, this::backlog, this::readsNothing);
     }
 
     @Override
@@ -162,9 +173,24 @@
             fields.add("Connection", "close");
         }
         write(this::answered, Encoder.answer(status, fields, body.getBytes(StandardCharsets.UTF_8)));
+        if (!isClosed()) {
+            reading.begin();
+            side.checkBudget(reading);
+        }
+    }
+
+    Outflow reading() {
+        return reading;
+    }
+
+    /** Guards the room and the memory that a client would hold for ever that never reads its answer. */
+    void readsNothing() {
+        side.readsNothing();
+        end();
     }
 
     private void answered() {
+        reading.end();
         if (leaving) {
             endWhenWritten();
             return;
@@ -226,6 +252,7 @@
 
     @Override
     protected void released() {
+        reading.end();
         cancelOverdue();
         side.closed(this);
     }
--- a/src/main/java/damsonslip/platform/clients/ClientSide.java
+++ b/src/main/java/damsonslip/platform/clients/ClientSide.java
@@ -10,7 +10,9 @@
 import damsonslip.core.Query;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
+import damsonslip.net.Outflow;
 import damsonslip.net.Room;
+import damsonslip.pace.Budget;
 import damsonslip.parting.Parting;
 import damsonslip.settings.Site;
 import java.io.IOException;
@@ -20,9 +22,14 @@
 import java.util.List;
 import java.util.Map;
 import org.eclipse.jetty.io.EndPoint;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Takes queries in from clients and gives them their answers. */
 public final class ClientSide implements Links.Accepting {
+    /** Answers that wait to be read may hold this part of the heap, all together. */
+    private static final int PART_OF_HEAP = 8;
+    private static final Logger LOG = LoggerFactory.getLogger(ClientSide.class);
     /** Ids of queries that are remembered: more than come in within the longest deadline. */
     private static final int MOST_TAKEN = 4_000;
     /** Connections that are to go are looked at this often: short beside every time in {@link Parting}. */
@@ -146,6 +153,23 @@
         return Math.max(0, latestUs - loop().now());
     }
 
+    /**
+     * Guards the heap: many clients that read nothing hold an answer each. Looked at when a further answer was not taken at
+     * once, which usual clients' answers are.
+     */
+    void checkBudget(Outflow newest) {
+        if (newest.waits()) {
+            Budget.over(Runtime.getRuntime().maxMemory() / PART_OF_HEAP, room.all().stream()
+                .filter(link -> link.reading().waits()).map(link -> link.reading().holding(link)).toList())
+                .forEach(ClientLink::readsNothing);
+        }
+    }
+
+    void readsNothing() {
+        counters.add(Count.SLOW_READERS_LET_GO);
+        LOG.warn("a client reads nothing of its answer and is let go");
+    }
+
     void bad() {
         counters.add(Count.QUERIES_BAD);
     }
--- a/src/main/java/damsonslip/platform/servers/ServerLink.java
+++ b/src/main/java/damsonslip/platform/servers/ServerLink.java
@@ -5,6 +5,8 @@
 import damsonslip.core.Execution;
 import damsonslip.net.Lines;
 import damsonslip.net.Link;
+import damsonslip.net.Outflow;
+import damsonslip.pace.Pace;
 import damsonslip.platform.http.Encoder;
 import damsonslip.platform.http.Field;
 import damsonslip.platform.http.HttpForward;
@@ -20,6 +22,11 @@
 final class ServerLink extends Link implements AnswerReader.Taker {
     private static final int MOST_LINE = 256 * 1024;
     private static final byte[] NOTHING = {};
+    /**
+     * A request has 64 KB at most and workers are near: one that takes nothing for half a second stands still, and there is
+     * time left for another. At this rate the largest one has two seconds.
+     */
+    private static final Pace.Limits TAKING = new Pace.Limits(500_000, 500_000, 32 * 1024);
 
     private final ServerSide side;
     private final String worker;
@@ -38,6 +45,7 @@
     /** How long it had been idle when the request at hand was begun; below 0 if it was new. */
     private long idledUs = -1;
     private boolean used;
+    private final Outflow taking;
     long idleSinceUs;
 
     ServerLink(EndPoint endPoint, ServerSide side, String worker, Consumer<ServerLink> up) {
@@ -45,6 +53,7 @@
         this.up = up;
         this.side = side;
         this.worker = worker;
+        this.taking = new Outflow(side.loop(), TAKING, this::backlog, this::standsStill);
     }
 
     String worker() {
@@ -96,10 +105,24 @@
         unprocessed = false;
         write(() -> {
             written = true;
+            taking.end();
             if (!probing) {
                 side.written();
             }
         }, request);
+        if (!isClosed()) {
+            taking.begin();
+        }
+    }
+
+    /**
+     * A request that the worker takes too slowly is given up while its last byte is still here: it provably never ran,
+     * and may go elsewhere whatever its class.
+     */
+    private void standsStill() {
+        side.standsStill(worker);
+        end();
+        lost();
     }
 
     /** Gives up what it carries, by the only means there is: the connection ends. */
@@ -215,6 +238,7 @@
 
     @Override
     protected void released() {
+        taking.end();
         side.closed(this);
     }
 }
--- a/src/main/java/damsonslip/platform/servers/ServerSide.java
+++ b/src/main/java/damsonslip/platform/servers/ServerSide.java
@@ -249,6 +249,11 @@
         links.loop().in(SWEEP_US, this::sweep);
     }
 
+    void standsStill(String worker) {
+        counters.add(Count.UPLOADS_GIVEN_UP);
+        LOG.warn("worker {} takes a request too slowly; it is given up before its last byte", worker);
+    }
+
     void malformed(String worker, String why) {
         LOG.warn("worker {}: {}", worker, why);
     }
--- a/src/test/java/damsonslip/FourRulesTest.java
+++ b/src/test/java/damsonslip/FourRulesTest.java
@@ -223,6 +223,35 @@
         }
     }
 
+    /** An upgrade: together two processes send a cold worker no more than one would. */
+    @Test
+    void processesThatDivideADispatcherSpendItsBudgetOnce() {
+        int alone = coldSends(1);
+        int divided = coldSends(2);
+        assertTrue(divided > 0, "it still gets something");
+        assertTrue(divided <= 1.1 * alone, divided + " against " + alone);
+    }
+
+    private static int coldSends(int processes) {
+        int sends = 0;
+        for (int number = 0; number < 3 * processes; number++) {
+            Script script = new Script(settings(3, number / processes, jobClass(Effect.SAFE, Group.ALL)));
+            script.list(ListMode.KEPT, worker("cold", 0, 0, Status.RUNNING, SECOND));
+            if (processes > 1) {
+                script.give(new Dispatch.Divided(3 * processes, number));
+            }
+            for (int i = 0; i < 400; i++) {
+                List<Dispatch.Action> actions = new ArrayList<>(script.job("job" + i));
+                actions.addAll(script.pass(20_000));
+                for (Dispatch.Send send : Script.only(actions, Dispatch.Send.class)) {
+                    sends++;
+                    script.ended(send.job(), 0, Outcome.SERVED);
+                }
+            }
+        }
+        return sends;
+    }
+
     @Test
     void aRestartMakesAWorkerCold() {
         Script script = new Script(settings(40, 39, jobClass(Effect.SAFE, Group.ALL)));
--- a/src/test/java/damsonslip/console/ConsoleTest.java
+++ b/src/test/java/damsonslip/console/ConsoleTest.java
@@ -52,6 +52,7 @@
             assertTrue(ask("pools").contains("apply-submit"));
             assertTrue(ask("queues").matches("(?s).*apply-submit +1 +0 +[0-9]+.*"), ask("queues"));
             assertTrue(ask("counters").matches("(?s).*queries_taken +1\n.*"), ask("counters"));
+            assertTrue(ask("waits").matches("(?s)tasks .*\n[0-9]+ +[0-9.]+ +[0-9.]+ +[0-9.]+ +[0-9.]+\n"), ask("waits"));
             assertEquals("serving\n", ask("phase"));
             assertEquals("YES serving", call("READY"));
             assertEquals("router.success.status-read:0|c", call("STATS"), "the same figures as the console's");
--- a/src/test/java/damsonslip/kit/Program.java
+++ b/src/test/java/damsonslip/kit/Program.java
@@ -21,12 +21,18 @@
     private final Thread reader;
 
     public Program(Path config, String... args) throws IOException {
+        this(config, List.of(), args);
+    }
+
+    /** The same with more words for the JVM. */
+    public Program(Path config, List<String> more, String... args) throws IOException {
         this.config = config;
         List<String> command = new ArrayList<>(List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
             "-XX:+UseSerialGC", "-cp",
             System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
             "damsonslip.program.Main"));
+        command.addAll(1, more);
         command.addAll(List.of(args));
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         if (config != null) {
--- a/src/test/java/damsonslip/platform/DailyRunningTest.java
+++ b/src/test/java/damsonslip/platform/DailyRunningTest.java
@@ -72,6 +72,26 @@
         Program.await("a failed reload is counted", () -> figures().get("reload_failure").equals("1|c"));
     }
 
+    /** Refusals count as overload, and a query whose client has gone under nothing but not as open for ever. */
+    @Test
+    void refusalsAndClientsThatHaveGoneAreToldApart() throws Exception {
+        startWithMgmt(worker("a", SAY_NOTHING));
+        List<Peer> clients = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            clients.add(Peer.connect(port).send(query("q" + i, "read", "4000m")));
+        }
+        Program.await("some are refused", () -> !figures().get("overload.read").equals("0|c"));
+        Map<String, String> figures = figures();
+        long refused = Long.parseLong(figures.get("overload.read").replace("|c", ""));
+        assertEquals(60 - refused + "|g", figures.get("concurrent"));
+        for (Peer client : clients) {
+            client.close();
+        }
+        Program.await("nothing is open", () -> figures().get("concurrent").equals("0|g"));
+        assertEquals("0|c", figures().get("error.read"));
+        assertEquals("0|c", figures().get("success.read"));
+    }
+
     @Test
     void whatIsNoCallGetsANoAndHoldersKeepNobodyWaiting() throws Exception {
         startWithMgmt(worker("a", SERVE));
@@ -93,6 +113,10 @@
         for (Peer holder : holders) {
             holder.close();
         }
+        try (Peer silent = Peer.connect(mgmt).send("READ")) {
+            assertEquals("NO no whole call came", silent.line());
+            assertTrue(silent.closed());
+        }
     }
 
     /** Two bans, one call back; a list that says 'ready' does not lift it, and neither does a new start. */
@@ -123,9 +147,9 @@
         assertTrue(jobs("a") > before, "one call back is enough");
     }
 
-    /** The decision is older than the call, and the link comes up only after it. */
+    /** What a worker that is out hands back goes to another one, and is not repeated there. */
     @Test
-    void aJobOnItsWayToAWorkerIsNotSentOnceTheWorkerIsOut() throws Exception {
+    void aJobThatAWorkerHandsBackIsNotRepeatedThereOnceItIsOut() throws Exception {
         startWithMgmt(worker("a", (peer, job) -> {
             Thread.sleep(300);
             TURN_AWAY.on(peer, job);
--- /dev/null
+++ b/src/test/java/damsonslip/platform/SlowPeersTest.java
@@ -0,0 +1,99 @@
+package damsonslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.Program;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Peers that read slowly, or not at all. */
+class SlowPeersTest extends PlatformStage {
+    /** So little that a large message stays with its sender. */
+    private static final int SMALL = 4 * 1024;
+    private static final int LARGE_ANSWER = 250_000;
+    private static final Work LARGE = (peer, job) -> peer.answerLines(
+        state(job, "done", ",\"result\":\"" + "x".repeat(LARGE_ANSWER) + "\",\"load\":{\"x0\":3}"));
+
+    private static String large(String id) {
+        return query(id, "submit", "4000m").replace("Content-Length: 4\r\n\r\nbody",
+            "Content-Length: 60000\r\n\r\n" + "x".repeat(60_000));
+    }
+
+    /** The last byte never left, so that what must run once may go to another worker. */
+    @Test
+    void aWorkerThatStandsStillInAnUploadCostsNobodyItsAnswer() throws Exception {
+        try (ServerSocket still = new ServerSocket()) {
+            still.setReceiveBufferSize(SMALL);
+            still.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+            start(worker("a", SERVE), entry("b", still.getLocalPort(), "ready")); // the last one is the class's own
+            int i = 0;
+            while (!program.said().contains("worker b takes a request too slowly") && i < 12) {
+                assertEquals(200, ask(large("q" + i++)).status());
+            }
+            assertTrue(program.said().contains("worker b takes a request too slowly"), program.said());
+            assertEquals(i, jobs("a"));
+        }
+        program.terminate();
+        assertEquals(143, program.exit());
+        assertTrue(program.said().contains(" uploads_given_up="), program.said());
+    }
+
+    private Socket asking(String id) throws IOException {
+        Socket client = new Socket();
+        client.setReceiveBufferSize(SMALL);
+        client.connect(new InetSocketAddress("127.0.0.1", port));
+        client.setSoTimeout(10_000);
+        client.getOutputStream().write(query(id, "read", "4000m").getBytes(StandardCharsets.UTF_8));
+        return client;
+    }
+
+    /** A hundred answers of 250 KB would not fit into the smallest heap beside what the program needs. */
+    @Test
+    void clientsThatReadNothingDoNotFillTheHeap() throws Exception {
+        program = new Program(config(list(7, true, worker("a", LARGE), worker("b", LARGE))), List.of("-Xmx32m"), "serve")
+            .awaitWord("listens on");
+        List<Socket> silent = new ArrayList<>();
+        long before = System.nanoTime();
+        try {
+            for (int i = 0; i < 100; i++) {
+                silent.add(asking("q" + i));
+                Thread.sleep(10);
+            }
+            for (int i = 0; i < 20; i++) {
+                assertEquals(200, ask(query("s" + i, "submit", "4000m")).status(), "who reads is served as ever");
+            }
+            Program.await("half of them are let go", () -> program.said().lines()
+                .filter(line -> line.contains("a client reads nothing of its answer")).count() >= 50);
+            assertTrue(System.nanoTime() - before < 4_500_000_000L, "for what they hold, not for their pace");
+        } finally {
+            for (Socket client : silent) {
+                client.close();
+            }
+        }
+        assertFalse(program.said().contains("OutOfMemory"), program.said());
+    }
+
+    /** One reads nothing and goes; one pauses once and gets all. */
+    @Test
+    void aClientThatNeverReadsItsAnswerIsLetGo() throws Exception {
+        start(worker("a", LARGE));
+        try (Socket silent = asking("q1"); Socket pausing = asking("q2")) {
+            Thread.sleep(3_000);
+            assertEquals(LARGE_ANSWER, pausing.getInputStream().readNBytes(LARGE_ANSWER).length);
+            program.awaitWord("a client reads nothing of its answer");
+            assertTrue(silent.getInputStream().readNBytes(LARGE_ANSWER).length < LARGE_ANSWER, "its answer was cut off");
+        }
+        program.terminate();
+        assertEquals(143, program.exit());
+        assertTrue(program.said().contains(" slow_readers_let_go=1"), program.said());
+    }
+}
