Let links forget what they wrote last: 16 KB each for every kept connection

At fault: Link.current, which kept the buffers of the last message, a head of 16 KB each, for as long as the link lives.

--- a/src/main/java/damsonslip/net/Link.java
+++ b/src/main/java/damsonslip/net/Link.java
@@ -24,6 +24,8 @@
     /** So much of what still comes after the last answer is read and dropped; the rest stays with the system. */
     private static final int MOST_DROPPED = 128 * 1024;
 
+    private static final ByteBuffer[] NOTHING = {};
+
     private record Out(ByteBuffer[] bytes, Runnable written) { }
 
     private final Loop loop;
@@ -31,7 +33,7 @@
     private final ArrayDeque<Out> out = new ArrayDeque<>();
     private boolean writing;
     /** What is being written; its buffers show what the system has not taken yet. */
-    private ByteBuffer[] current = {};
+    private ByteBuffer[] current = NOTHING;
     private boolean closed;
     private boolean closeWhenWritten;
     private boolean parting;
@@ -154,6 +156,7 @@
         public void succeeded() {
             finish(() -> {
                 writing = false;
+                current = NOTHING; // a link that is kept would keep its last message's room as well
                 if (!closed) {
                     then.run();
                     writeNext();
--- a/src/test/java/damsonslip/platform/SlowPeersTest.java
+++ b/src/test/java/damsonslip/platform/SlowPeersTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import damsonslip.kit.Peer;
 import damsonslip.kit.Program;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -82,6 +83,23 @@
         assertFalse(program.said().contains("OutOfMemory"), program.said());
     }
 
+    /** What a kept connection wrote last must not stay with it: that was 16 KB a link. */
+    @Test
+    void keptConnectionsDoNotFillTheHeap() throws Exception {
+        program = new Program(config(list(7, true, worker("a", SERVE))), List.of("-Xmx12m"), "serve")
+            .awaitWord("listens on");
+        List<Peer> kept = new ArrayList<>();
+        for (int i = 0; i < 400; i++) {
+            kept.add(Peer.connect(port).send("GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n"));
+            assertEquals(200, kept.get(i).message().status());
+        }
+        assertEquals(200, ask(query("q1", "submit", "4000m")).status(), program::said);
+        for (Peer each : kept) {
+            each.close();
+        }
+        assertFalse(program.said().contains("OutOfMemory"), program.said());
+    }
+
     /** One reads nothing and goes; one pauses once and gets all. */
     @Test
     void aClientThatNeverReadsItsAnswerIsLetGo() throws Exception {
