Learn free slots from the last seconds and the whole fleet; stagger turns at cold workers

Each send's belief was printed and held against what happened: sends to warm workers believed to have 4 free slots waited in 67% of cases, those never heard of in 84%. Cause: a scheduler hears of each of 60 workers every 5 s. The mean share that fills the gap was kept by pool, kind and zone with a memory of 20 reports (40 s), started at 'all free' after each re-cut, and mixed cold workers' idle slots into those of the warm (Rules.reported, free, equip). And all cold workers of one release had their turns in the same 2 s, so that a scheduler had either all of them or none (coldAllows). Ruled out: workers' queues refusing (no 'full'), discovery (every list came within 1 s), CPU (0.5 of 0.5 only in the first second). Change: shares fade over 3 s; what a group has not heard it takes from all warm, or all cold, workers; cold turns are shifted by a hash of the worker's id. Rejected: a longer turn or a larger part of the budget, since two windows together already spend what the rule allows.

--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -32,6 +32,8 @@
 
     static final class Worker {
         final String id;
+        /** Evens out, over workers that started together, whose turn it is at each while they are cold. */
+        final long salt;
         final List<Attempt> out = new ArrayList<>();
         int zone;
         int cell;
@@ -61,6 +63,7 @@
 
         Worker(String id) {
             this.id = id;
+            this.salt = Ring.mix(id.hashCode()) >>> 32;
         }
 
         /**
@@ -172,11 +175,32 @@
         }
     }
 
-    /** The mean share of free slots that reports tell of. */
+    /** The mean share of free slots that the reports of the last seconds tell of. */
     static final class Free {
-        double share = 1;
-        int reports;
-        int members;
+        /** A report's weight fades over about this long: in a release a fleet goes from idle to full in less than five. */
+        private static final double FADE_US = 3e6;
+        /** What else is known counts as much as this many reports. */
+        private static final double PRIOR = 2;
+
+        private double sum;
+        private double weight;
+        private long at;
+
+        void learn(double share, long now) {
+            double kept = kept(now);
+            sum = sum * kept + share;
+            weight = weight * kept + 1;
+            at = now;
+        }
+
+        /** The mean; where few reports tell of it, near what is to be expected. */
+        double share(double expected, long now) {
+            return (sum * kept(now) + expected * PRIOR) / (weight * kept(now) + PRIOR);
+        }
+
+        private double kept(long now) {
+            return weight == 0 ? 0 : Math.exp((at - now) / FADE_US);
+        }
     }
 
     /** A job class: its rates, its pool, its threshold and its hold. */
@@ -195,9 +219,8 @@
         private final Map<Worker, double[]> byWorker = new HashMap<>();
         final Map<Long, Heat> heat = new HashMap<>();
         double slots;
-        /** By kind and zone. */
-        final Free[][] free;
-        double freeShare = 1;
+        /** By kind and zone, first for warm workers and then for cold ones, which all fill unlike. */
+        private final Free[][] free;
         int share = 1;
         int present;
         boolean full;
@@ -206,7 +229,7 @@
 
         Pool(JobClass of, int kinds, int zones) {
             this.of = of;
-            this.free = new Free[kinds][zones];
+            this.free = new Free[2 * kinds][zones];
             for (Free[] kind : free) {
                 Arrays.setAll(kind, zone -> new Free());
             }
@@ -214,6 +237,11 @@
             this.median = time;
         }
 
+        /** What is known of the free slots of those like this one. */
+        Free like(Worker w, boolean cold) {
+            return free[cold ? free.length / 2 + w.kind : w.kind][w.zone];
+        }
+
         /**
          * A job of the class took this long there; tells how many times as long as at its quick workers, the first
          * quarter of all that have run some. Not the class's own mean: where a whole pool is slow, that is as well.
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -12,8 +12,7 @@
  *
  * <p>The design: a pool of workers for each job class, sized by offered load; a threshold on the jobs
  * present, searched by revenue and shared among the dispatchers; admitted jobs held in arrival order and
- * released to their own pool. README.md tells what departs from it and when. No clock, threads or I/O;
- * not thread-safe; objects share nothing.
+ * released to their own pool. README.md tells what departs from it. No clock, threads, I/O or shared state.
  */
 public final class Rules {
     // ---- constants, each with its reason
@@ -26,8 +25,6 @@
     private static final double RATE_WEIGHT = 0.1;
     /** The same for the rates that pools are cut by: dispatchers that see little must still cut alike. */
     private static final double STEADY_WEIGHT = 0.025;
-    /** Weight of the newest report in a pool's mean free share, by kind and zone, which fill unlike. */
-    private static final double FREE_WEIGHT = 0.05;
     /** Sends this recent may be missing from a report: reports are refreshed a few times a second at best. */
     private static final long REPORT_LAG_US = 250_000;
     /** A job sent longer ago than this and not known to have started waits in its worker's queue. */
@@ -114,6 +111,7 @@
     private final double[] quotaLevel, tenantRate;
     private final int[] tenantArrivals, kindSlots;
     private final FreeSeen[] freeSeen;
+    private final Free[] freeAnywhere = {new Free(), new Free()};
     private List<Worker> probeRound = List.of();
     private List<Action> actions;
     private double busier = 1, all, measured, probeAllowance;
@@ -325,12 +323,10 @@
                 w.sentMemory += a.job.ask.memory();
             }
         }
+        double part = Math.min(1, free / w.slots(kindSlots));
+        freeAnywhere[cold(w) ? 1 : 0].learn(part, now);
         if (w.pool != null) {
-            Free mean = w.pool.free[w.kind][w.zone];
-            double change = Math.min(1, free / w.slots(kindSlots)) - mean.share;
-            change *= Math.max(FREE_WEIGHT, 1.0 / (++mean.reports + 5));
-            mean.share += change;
-            w.pool.freeShare += change * mean.members / Math.max(1, w.pool.members.size());
+            w.pool.like(w, cold(w)).learn(part, now);
             w.pool.full = false;
         }
         if (free >= 1) {
@@ -338,6 +334,19 @@
         }
     }
 
+    /**
+     * The share of free slots at workers like this one. Each dispatcher hears of few, and of a pool just cut
+     * of none: what it lacks it takes from all warm, or all cold, workers, not from hope.
+     */
+    private double share(Worker w) {
+        double anywhere = freeAnywhere[cold(w) ? 1 : 0].share(1, now);
+        return w.pool == null ? anywhere : w.pool.like(w, cold(w)).share(anywhere, now);
+    }
+
+    private double freeShare(Pool pool) {
+        return pool.members.stream().mapToDouble(this::share).average().orElse(1);
+    }
+
     /**
      * Free slots as far as can be known: own jobs are known exactly; what others have there is what reports
      * leave beside the own mean, fading towards the pool's as a report ages. An own job that waits there to
@@ -346,8 +355,7 @@
      */
     private double free(Worker w) {
         double slots = w.slots(kindSlots);
-        double share = w.pool == null ? 0.5 : w.pool.free[w.kind][w.zone].share;
-        double others = slots * (1 - share) * (settings.dispatchers() - 1) / settings.dispatchers();
+        double others = slots * (1 - share(w)) * (settings.dispatchers() - 1) / settings.dispatchers();
         if (!Double.isNaN(w.reportedFree)) {
             double fade = w.pool == null ? 0.5 : w.pool.time / (w.pool.time + (now - w.reportedAt));
             others += fade * (w.others - others);
@@ -391,12 +399,6 @@
             pool.members = members;
             pool.ring = Ring.of(members, points);
         }
-        Arrays.stream(pool.free).flatMap(Arrays::stream).forEach(mean -> mean.members = 0);
-        pool.freeShare = 0;
-        for (Worker w : members) {
-            pool.free[w.kind][w.zone].members++;
-            pool.freeShare += pool.free[w.kind][w.zone].share / members.size();
-        }
         pool.full = false;
         int n = (int) Math.floor(pool.slots / pool.slotsPerJob);
         double k = Threshold.search(n, pool.rate, SECOND / pool.time, aim(pool) / SECOND, pool.of.worth(),
@@ -492,11 +494,11 @@
         // with a subject all dispatchers choose alike, so that only a report of that very worker counts
         boolean known = ask.subject() == null || w != null && !Double.isNaN(w.reportedFree);
         boolean seenFree = w != null && known && free(w) >= ask.slots();
-        boolean beyond = !within && (!seenFree || pool.freeShare < SPARE);
+        boolean beyond = !within && (!seenFree || freeShare(pool) < SPARE);
         beyondQuota += beyond ? 1 : 0;
         pool.arrivals += beyond ? 0 : 1;
         // in overload all would use their swing at once, so it shrinks as the pool fills
-        double most = pool.share + SWING * Math.sqrt(pool.share) * Math.min(1, 2 * pool.freeShare);
+        double most = pool.share + SWING * Math.sqrt(pool.share) * Math.min(1, 2 * freeShare(pool));
         if (beyond) {
             answer(job);
         } else if (pool.present > most && !seenFree) {
@@ -594,7 +596,7 @@
     private Worker borrow(Pool pool, Job job) {
         boolean foreign = job.ask.fits() != null && pool.members.stream().noneMatch(w -> job.ask.fits(w.id));
         for (Pool other : pools) {
-            if (other != pool && (foreign || other.hold.isEmpty() && other.freeShare >= SPARE)) {
+            if (other != pool && (foreign || other.hold.isEmpty() && freeShare(other) >= SPARE)) {
                 Worker w = choose(other, job, true);
                 if (w != null) {
                     borrowed++;
@@ -710,7 +712,7 @@
         double all = COLD_PART * rules.fallMultiple() * part * w.slots(kindSlots) * rules.fallUs();
         double mine = all / settings.dispatchers();
         long turns = Math.max(1, (long) Math.ceil(cost / mine));
-        if (Math.floorMod(turn, turns) != Math.floorMod((long) settings.number(), turns)) {
+        if (Math.floorMod(turn + w.salt, turns) != Math.floorMod((long) settings.number(), turns)) {
             return false;
         }
         double spent = w.coldTurn == turn ? w.coldSpent : 0;
@@ -941,7 +943,7 @@
 
     /** How the pools stand, by class. */
     public List<PoolState> pools() {
-        return Picture.pools(pools);
+        return Picture.pools(pools, this::freeShare);
     }
 
     /** How the workers stand, by id; {@code nowUs} tells which of them are cold or paused. */
@@ -955,8 +957,8 @@
     private void log() {
         if (now - loggedAt >= LOG_US) {
             loggedAt = now;
-            actions.add(new Log(Picture.line(pools) + " borrowed " + borrowed + " moved " + moved
-                + " beyond quota " + beyondQuota + " turned away " + turnedAway + " slots "
+            actions.add(new Log(Picture.line(pools, this::freeShare) + " borrowed " + borrowed + " moved "
+                + moved + " beyond quota " + beyondQuota + " turned away " + turnedAway + " slots "
                 + Arrays.toString(kindSlots)));
         }
     }
--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -50,6 +50,7 @@
     private final Counters counters;
     private final Rules rules;
     private final Settings settings;
+    private final Trace trace = new Trace();
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final Bans bans = new Bans();
     /** Answers by class and kind. */
@@ -64,6 +65,7 @@
         this.counters = counters;
         this.rules = new Rules(settings, seed);
         this.settings = settings;
+        trace.settings(settings);
         this.answers = new long[settings.classes().size()][Answer.Kind.values().length];
     }
 
@@ -75,6 +77,7 @@
     /** Begins with the list of workers that was kept; before anything else is told. */
     public void begin(WorkerSide side, List<Worker> kept) {
         workers = side;
+        trace.listed(ListMode.KEPT, kept);
         tell(new ListUpdate(ListMode.KEPT, bans.listed(ListMode.KEPT, kept)));
     }
 
@@ -158,9 +161,11 @@
     /** Takes a query in, whose id {@link #holds} must not know. */
     public Exchange take(Query query, Asker asker) {
         counters.add(Count.QUERIES_TAKEN);
+        trace.taken(query);
         Exchange exchange = new Exchange(query, answer -> {
             open--;
             answers[query.jobClass()][answer.kind().ordinal()]++;
+            trace.answered(query, answer);
             counters.add(switch (answer.kind()) {
                 case SERVED -> Count.ANSWERS_SERVED;
                 case THROTTLED -> Count.ANSWERS_THROTTLED;
@@ -199,6 +204,7 @@
 
     public void started(Execution execution) {
         if (execution.open) {
+            trace.started(execution);
             tell(new AttemptStarted(execution.query().id(), execution.number));
         }
     }
@@ -209,6 +215,7 @@
             return;
         }
         execution.open = false;
+        trace.ended(execution, end.outcome());
         execution.timeout.cancel();
         Exchange exchange = execution.exchange;
         exchange.outstanding--;
@@ -232,10 +239,12 @@
 
     public void listed(ListMode mode, List<Worker> list) {
         counters.add(mode == ListMode.FAILED ? Count.LIST_FAILURES : Count.LIST_UPDATES);
+        trace.listed(mode, list);
         tell(new ListUpdate(mode, bans.listed(mode, list)));
     }
 
     public void probed(String worker, boolean ok, Report report) {
+        trace.probed(worker, ok);
         tell(new ProbeEnded(worker, ok, report));
     }
 
@@ -303,6 +312,7 @@
         long endsBy = send.timeoutUs() > 0 ? Math.min(deadline, now + send.timeoutUs()) : deadline;
         Execution execution = new Execution(exchange, exchange.executions.size(), send.worker(), now, endsBy);
         exchange.executions.add(execution);
+        trace.sent(execution);
         exchange.outstanding++;
         execution.timeout = loop.at(endsBy, () -> stop(execution, Outcome.TIMED_OUT));
         if (exchange.closed()) {
--- /dev/null
+++ b/src/main/java/damsonslip/core/Trace.java
@@ -0,0 +1,75 @@
+package damsonslip.core;
+
+import damsonslip.Dispatch.ListMode;
+import damsonslip.Dispatch.Outcome;
+import damsonslip.Dispatch.Settings;
+import damsonslip.Dispatch.Status;
+import damsonslip.Dispatch.Worker;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One line for each thing that happens to a query, for reading a fleet's logs together. Off unless the logger named
+ * {@code damsonslip.core.Trace} is set to debug, since a line for each event costs more than the event.
+ */
+final class Trace {
+    private static final Logger LOG = LoggerFactory.getLogger(Trace.class);
+    private final boolean on = LOG.isDebugEnabled();
+
+    void settings(Settings s) {
+        if (on) {
+            LOG.debug("settings dispatchers={} number={} zone={}", s.dispatchers(), s.number(), s.zone());
+            for (int i = 0; i < s.classes().size(); i++) {
+                LOG.debug("class {} aimUs={} stretch={} worth={}", i, s.classes().get(i).aimUs(),
+                    s.classes().get(i).stretch(), s.classes().get(i).worth());
+            }
+        }
+    }
+
+    void taken(Query query) {
+        if (on) {
+            LOG.debug("taken {} class={} slots={}", query.id(), query.jobClass(), query.slots());
+        }
+    }
+
+    void sent(Execution execution) {
+        if (on) {
+            LOG.debug("sent {} n={} to={}", execution.query().id(), execution.number(), execution.worker());
+        }
+    }
+
+    void started(Execution execution) {
+        if (on) {
+            LOG.debug("started {} n={} to={}", execution.query().id(), execution.number(), execution.worker());
+        }
+    }
+
+    void ended(Execution execution, Outcome outcome) {
+        if (on) {
+            LOG.debug("ended {} n={} to={} as={}", execution.query().id(), execution.number(), execution.worker(), outcome);
+        }
+    }
+
+    void answered(Query query, Answer answer) {
+        if (on) {
+            LOG.debug("answered {} as={} retryUs={}", query.id(), answer.kind(), answer.retryAfterUs());
+        }
+    }
+
+    void listed(ListMode mode, List<Worker> list) {
+        if (on) {
+            LOG.debug("listed {} entries={}", mode, list.size());
+            for (Worker w : list) {
+                LOG.debug("worker {} zone={} kind={} is={} startedUs={}", w.id(), w.zone(), w.kind(), w.status(),
+                    w.status() == Status.RUNNING && w.startedUs() > 0 ? w.startedUs() : 0);
+            }
+        }
+    }
+
+    void probed(String worker, boolean ok) {
+        if (on) {
+            LOG.debug("probed {} ok={}", worker, ok);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonslip/LargeFleetTest.java
@@ -0,0 +1,112 @@
+package damsonslip;
+
+import static damsonslip.Script.SECOND;
+import static damsonslip.Script.jobClass;
+import static damsonslip.Script.settings;
+import static damsonslip.Script.worker;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.Dispatch.Effect;
+import damsonslip.Dispatch.Group;
+import damsonslip.Dispatch.JobClass;
+import damsonslip.Dispatch.ListMode;
+import damsonslip.Dispatch.Outcome;
+import damsonslip.Dispatch.Send;
+import damsonslip.Dispatch.Status;
+import damsonslip.Dispatch.WorkerState;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** What many dispatchers that each see little do together. */
+class LargeFleetTest {
+    private static final JobClass SAFE = jobClass(Effect.SAFE, Group.ALL);
+
+    /** Guards against sending into the queues of workers of which nothing was heard as though they were idle. */
+    @Test
+    void workersThatNothingWasHeardOfAreTakenToBeAsFullAsTheRest() {
+        Script script = new Script(settings(14, 0, SAFE)).workers(8);
+        script.free = 0;
+        for (int i = 0; i < 60; i++) {
+            script.job("j" + i);
+            script.pass(100_000);
+            script.ended("j" + i, 0, Outcome.SERVED);
+        }
+        script.list(ListMode.CHANGES, worker("far", 1, 0, Status.RUNNING, Long.MIN_VALUE));
+        WorkerState far = script.rules.workers(script.now).get(0);
+        assertTrue(far.id().equals("far") && far.free() < 2, "no report says that anybody has room: " + far);
+    }
+
+    /** Guards against figures from before a release: within seconds the same workers are full. */
+    @Test
+    void reportsOfLongAgoCountForLittle() {
+        Script script = new Script(settings(14, 0, SAFE)).workers(8);
+        for (int i = 0; i < 200; i++) {
+            script.free = i < 180 ? 4 : 0;
+            script.job("j" + i);
+            script.pass(300_000);
+            script.ended("j" + i, 0, Outcome.SERVED);
+        }
+        double free = script.rules.workers(script.now).stream().mapToDouble(WorkerState::free).average().orElseThrow();
+        assertTrue(free < 1, "twenty reports in six seconds say that all are full: " + free);
+    }
+
+    /** Workers of one release are all cold together: a dispatcher shall not have its turn at all or none of them. */
+    @Test
+    void turnsAtColdWorkersDoNotFallTogether() {
+        Script script = new Script(settings(40, 3, SAFE));
+        List<Dispatch.Worker> fresh = new ArrayList<>();
+        for (int i = 0; i < 24; i++) {
+            fresh.add(worker("w" + i, 0, 0, Status.RUNNING, SECOND));
+        }
+        script.list(ListMode.KEPT, fresh.toArray(Dispatch.Worker[]::new));
+        for (int turn = 0; turn < 3; turn++) {
+            Set<String> reached = new HashSet<>();
+            steps(script, 90, "turn" + turn).forEach(sends -> sends.forEach(send -> reached.add(send.worker())));
+            script.pass(10 * 20_000); // to the next turn
+            assertTrue(reached.size() > 2 && reached.size() < 20, "turn " + turn + ": " + reached.size() + " of 24");
+        }
+    }
+
+    /** A job every 20 ms, each of which takes 200 ms; gives what was sent in each step. */
+    private static List<List<Send>> steps(Script script, int count, String name) {
+        List<List<Send>> all = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            List<Dispatch.Action> actions = new ArrayList<>(script.job(name + i));
+            actions.addAll(script.pass(20_000));
+            all.add(Script.only(actions, Send.class));
+            all.get(i).forEach(send -> script.started(send.job(), 0));
+            if (i >= 10) {
+                all.get(i - 10).forEach(send -> script.ended(send.job(), 0, Outcome.SERVED));
+            }
+        }
+        return all;
+    }
+
+    /** However many there are, all together keep within what a cold worker bears, in any window of the rule's length. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 3, 14, 100})
+    void allDispatchersTogetherSpareAColdWorker(int dispatchers) {
+        double[] sent = new double[500];
+        for (int number = 0; number < dispatchers; number++) {
+            Script script = new Script(settings(dispatchers, number, SAFE));
+            script.list(ListMode.KEPT, worker("cold", 0, 0, Status.RUNNING, SECOND));
+            List<List<Send>> steps = steps(script, 400, "job");
+            for (int i = 0; i < 400; i++) {
+                sent[i] += 0.2 * steps.get(i).size(); // what a job of this class takes, in core-seconds
+            }
+        }
+        for (int from = 0; from < 290; from++) {
+            double inWindow = 0;
+            for (int i = from; i < from + 100; i++) {
+                inWindow += sent[i];
+            }
+            double warmth = 0.25 + 0.75 * (from * 0.02 + 1) / 8; // in the middle of the window
+            assertTrue(inWindow <= 3 * warmth * 4 * 2, "from " + from + ": " + inWindow);
+        }
+    }
+}
