--- a/src/main/java/damsonslip/Dispatch.java
+++ b/src/main/java/damsonslip/Dispatch.java
@@ -160,6 +160,11 @@
             require(fallMultiple > 0, "settings: fall multiple: " + fallMultiple);
             require(fallUs > 0, "settings: fall time: " + fallUs);
         }
+
+        /** The worst share of its capacity that a worker may have at this age. */
+        double warmth(long age) {
+            return Math.min(1, coldShare + (1 - coldShare) * Math.max(0, age) / coldUs);
+        }
     }
 
     /**
@@ -176,11 +181,16 @@
 
     /**
      * A load report; a figure that it does not hold is NaN. {@code slots} are all that the worker
-     * has, as a worker tells that offers them by itself.
+     * has, as a worker tells that offers them by itself; {@code errors} are those a second.
      */
-    record Report(double freeSlots, double freeMemory, double held, double slots) {
+    record Report(double freeSlots, double freeMemory, double held, double slots, double errors) {
         public Report(double freeSlots, double freeMemory, double held) {
-            this(freeSlots, freeMemory, held, Double.NaN);
+            this(freeSlots, freeMemory, held, Double.NaN, Double.NaN);
+        }
+
+        /** A report of a worker that offers its slots by itself. */
+        public static Report offered(double freeSlots, double freeMemory, double held, double slots) {
+            return new Report(freeSlots, freeMemory, held, slots, Double.NaN);
         }
     }
 
--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -17,7 +17,10 @@
     /** Weight of the newest job in a mean job time, once a hundred are seen; long tails need many. */
     private static final double TIME_WEIGHT = 0.003;
 
-    /** Weight of the newest job in a worker's pace, of which no single one counts for more than so many times. */
+    /**
+     * Weight of the newest job in a worker's pace, once some are seen: the first counts as much as the guess that it is
+     * as usual, since of many workers a dispatcher sees few jobs each. No job counts for more than so many times.
+     */
     private static final double PACE_WEIGHT = 0.15;
     private static final double MOST_TIMES = 6;
     /** The same in a worker's mean time of a class, which counts once a few are seen. */
@@ -30,6 +33,17 @@
 
     private Known() { }
 
+    /**
+     * How much more traffic than an even part this dispatcher has, by its middle tenant, so that it does not
+     * take its tenants to be beyond their quotas only because it is busy.
+     */
+    static double busier(double[] tenantRate, Dispatch.Settings settings) {
+        double[] used = tenantRate.clone();
+        Arrays.setAll(used, t -> used[t] * settings.dispatchers() / (settings.tenantQuotas().get(t) + 1e-9));
+        Arrays.sort(used);
+        return used.length < 2 ? 1 : Math.max(1, used[(used.length - 1) / 2]);
+    }
+
     static final class Worker {
         final String id;
         /** Evens out, over workers that started together, whose turn it is at each while they are cold. */
@@ -51,6 +65,7 @@
         double ownMean;
         double pace = 1;
         long pacedAt;
+        private int paced;
         long ownAt;
         double others;
         boolean fresh;
@@ -58,6 +73,8 @@
         long pausedUntil;
         long answeredAt = Long.MIN_VALUE;
         int strikes;
+        /** Its newest report told of errors, own or others'. */
+        boolean failing;
         long coldTurn = -1;
         double coldSpent;
 
@@ -93,7 +110,7 @@
 
         /** A job there took this many times as long as where its class runs quickly. */
         void paced(double times, long now) {
-            pace = pace(now) + PACE_WEIGHT * (Math.min(times, MOST_TIMES) - pace(now));
+            pace = pace(now) + Math.max(PACE_WEIGHT, 1.0 / (++paced + 1)) * (Math.min(times, MOST_TIMES) - pace(now));
             pacedAt = now;
             errors = 0;
         }
@@ -244,17 +261,19 @@
 
         /**
          * A job of the class took this long there; tells how many times as long as at its quick workers, the first
-         * quarter of all that have run some. Not the class's own mean: where a whole pool is slow, that is as well.
+         * quarter of all that have run some. The class's own mean only until a few have: where a whole pool is slow,
+         * that is as well.
          */
         double timed(Worker w, double took) {
             double[] own = byWorker.computeIfAbsent(w, fresh -> new double[2]);
             own[1] += Math.max(WORKER_WEIGHT, 1 / ++own[0]) * (took - own[1]);
             double[] means = byWorker.values().stream().filter(mean -> mean[0] >= FEW).mapToDouble(mean -> mean[1])
                 .sorted().toArray();
+            double usual = means.length >= FEW ? means[means.length / 4] : timed >= FEW ? time : took;
             timed++;
             median *= 1 + Math.max(0.02, 1.0 / timed) * (took > median ? 0.5 : -0.5);
             time += Math.max(TIME_WEIGHT, 1.0 / timed) * (took - time);
-            return means.length == 0 ? 1 : Math.max(took, NOISE_US) / Math.max(means[means.length / 4], NOISE_US);
+            return Math.max(took, NOISE_US) / Math.max(usual, NOISE_US);
         }
     }
 }
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -63,6 +63,8 @@
     private static final int MOST_DOUBLINGS = 5;
     /** What must not be repeated goes to a worker that has failed only this long after its pause. */
     private static final long TRUST_US = 4_000_000;
+    /** A worker that reports more errors a second than one now and then is failing, whoever has met them. */
+    private static final double FAILING = 1;
     /** A pool lends slots, and takes jobs beyond their tenants' quotas, while this share of it is free. */
     private static final double SPARE = 0.45;
     /**
@@ -249,6 +251,7 @@
             w.started = entry.startedUs();
             w.coldTurn = -1;
             w.pausedUntil = w.strikes = 0;
+            w.pace = 1; // what made it slow has most likely gone
             w.reportedFree = Double.NaN;
         }
         return before != w.running;
@@ -273,18 +276,7 @@
             tenantArrivals[t] = 0;
         }
         subjects = Arrays.stream(pools).anyMatch(pool -> !pool.heat.isEmpty());
-        busier = busier();
-    }
-
-    /**
-     * How much more traffic than an even part this dispatcher has, by its middle tenant, so that it does not
-     * take its tenants to be beyond their quotas only because it is busy.
-     */
-    private double busier() {
-        double[] used = tenantRate.clone();
-        Arrays.setAll(used, t -> used[t] * settings.dispatchers() / (settings.tenantQuotas().get(t) + 1e-9));
-        Arrays.sort(used);
-        return used.length < 2 ? 1 : Math.max(1, used[(used.length - 1) / 2]);
+        busier = Known.busier(tenantRate, settings);
     }
 
     /** Slots that a class keeps busy at this dispatcher's part of it: lambda / mu. */
@@ -329,7 +321,11 @@
             w.pool.like(w, cold(w)).learn(part, now);
             w.pool.full = false;
         }
-        if (free >= 1) {
+        w.failing = report.errors() > FAILING;
+        if (w.failing) { // as though struck before: what must not be repeated is not how to find out
+            w.strikes = Math.max(w.strikes, 1);
+            strike(w, true);
+        } else if (free >= 1) {
             w.pausedUntil = w.strikes == 0 ? 0 : w.pausedUntil;
         }
     }
@@ -365,7 +361,7 @@
             waiting += a.started == 0 && now - a.sent > START_US ? a.job.ask.slots() : 0;
         }
         double free = slots - w.own - others;
-        free = cold(w) ? Math.min(free, slots * warmth(now - w.started) - w.own) : free;
+        free = cold(w) ? Math.min(free, slots * rules.warmth(now - w.started) - w.own) : free;
         return waiting > 0 && settings.tellsStart() ? Math.min(free, -waiting) : free;
     }
 
@@ -559,7 +555,7 @@
                 send(job, w);
             } else if (!mayRepeat(job, job.risk)) {
                 answer(job); // its window has ended while it was held
-            } else if (job.attempts.isEmpty() && !pool.hold.isEmpty() && waited(job) > LATE * slack(pool)) {
+            } else if (job.attempts.isEmpty() && !pool.hold.isEmpty() && pressed(job)) {
                 answer(job); // others wait behind it, and served in order all would be just too late
             } else {
                 passed.add(job);
@@ -574,6 +570,10 @@
         return now - job.arrived;
     }
 
+    private boolean pressed(Job job) {
+        return waited(job) > LATE * slack(pools[job.ask.jobClass()]);
+    }
+
     private void keepSweeping() {
         if (!sweeping && Arrays.stream(pools).anyMatch(pool -> !pool.hold.isEmpty())) {
             sweeping = true;
@@ -620,13 +620,12 @@
         int near = anywhere ? ring.length : job.near + (far ? 1 : 0);
         double least = ROOM - 1 - (anywhere || far ? 0 : QUEUE);
         // what a slow worker gets is late in any case, so it is the last resort of what would be refused else
-        boolean pressed = waited(job) > LATE * slack(pools[job.ask.jobClass()]);
         Worker found = null;
         double most = 0;
         Worker before = null;
         for (int i = 0; i < Math.min(WALK, ring.length) && near > 0; i++) {
             Worker w = ring[(at + i) % ring.length];
-            if (w == before || !mayTake(w, job) || w.pace(now) > SLOW && !pressed) {
+            if (w == before || !mayTake(w, job) || w.pace(now) > SLOW && !pressed(job)) {
                 continue;
             }
             before = w;
@@ -708,7 +707,7 @@
             return true;
         }
         long turn = Math.floorDiv(now - w.started, rules.fallUs());
-        double part = warmth(turn * rules.fallUs());
+        double part = rules.warmth(turn * rules.fallUs());
         double all = COLD_PART * rules.fallMultiple() * part * w.slots(kindSlots) * rules.fallUs();
         double mine = all / settings.dispatchers();
         long turns = Math.max(1, (long) Math.ceil(cost / mine));
@@ -719,11 +718,6 @@
         return spent + cost <= mine * turns;
     }
 
-    /** The worst share of its capacity that a worker may have at this age. */
-    private double warmth(long age) {
-        return Math.min(1, rules.coldShare() + (1 - rules.coldShare()) * Math.max(0, age) / rules.coldUs());
-    }
-
     private boolean cold(Worker w) {
         return rules.coldShare() < 1 && w.started != Long.MIN_VALUE && now - w.started < rules.coldUs();
     }
@@ -817,7 +811,7 @@
         Worker w = a.worker;
         switch (outcome) {
             case SERVED -> {
-                w.strikes = 0;
+                w.strikes = w.failing ? w.strikes : 0;
                 double took = now - (a.started == 0 ? a.sent : a.started);
                 w.paced(pools[a.job.ask.jobClass()].timed(w, took), now);
             }
--- a/src/main/java/damsonslip/faktory/Consumers.java
+++ b/src/main/java/damsonslip/faktory/Consumers.java
@@ -246,7 +246,7 @@
     /** What a FETCH says: besides what is free, that the worker lives, and how many slots it has in all. */
     private void offered(Consumer consumer) {
         Report free = load(consumer);
-        driver.probed(consumer.wid, true, new Report(free.freeSlots(), free.freeMemory(), free.held(),
+        driver.probed(consumer.wid, true, Report.offered(free.freeSlots(), free.freeMemory(), free.held(),
             Math.max(1, consumer.slots())));
     }
 
--- a/src/main/java/damsonslip/platform/servers/JobState.java
+++ b/src/main/java/damsonslip/platform/servers/JobState.java
@@ -43,7 +43,7 @@
 
     private static Report report(JsonNode load) {
         return load.isObject() ? new Report(load.path("x0").asDouble(Double.NaN), load.path("x1").asDouble(Double.NaN),
-            load.path("inflight").asDouble(Double.NaN)) : null;
+            load.path("inflight").asDouble(Double.NaN), Double.NaN, load.path("eps").asDouble(Double.NaN)) : null;
     }
 
     /** Reads a load header such as {@code TEXT util=0.61, x0=2}; null if there is none. */
@@ -54,6 +54,7 @@
         double free = Double.NaN;
         double memory = Double.NaN;
         double held = Double.NaN;
+        double errors = Double.NaN;
         for (String part : header.substring(4).split(",")) {
             int at = part.indexOf('=');
             if (at < 0) {
@@ -65,12 +66,13 @@
                     case "x0" -> free = value;
                     case "x1" -> memory = value;
                     case "inflight" -> held = value;
+                    case "eps" -> errors = value;
                     default -> { }
                 }
             } catch (NumberFormatException e) {
                 // a figure that is none is left out; the others still count
             }
         }
-        return new Report(free, memory, held);
+        return new Report(free, memory, held, Double.NaN, errors);
     }
 }
--- a/src/main/java/damsonslip/simhost/WireLine.java
+++ b/src/main/java/damsonslip/simhost/WireLine.java
@@ -141,6 +141,7 @@
         double freeSlots = Double.NaN;
         double freeMemory = Double.NaN;
         double held = Double.NaN;
+        double errors = Double.NaN;
         while (in.nextToken() != JsonToken.END_OBJECT) {
             String name = in.currentName();
             if (!in.nextToken().isNumeric()) {
@@ -151,10 +152,11 @@
                 case "x0" -> freeSlots = in.getDoubleValue();
                 case "x1" -> freeMemory = in.getDoubleValue();
                 case "inflight" -> held = in.getDoubleValue();
+                case "eps" -> errors = in.getDoubleValue();
                 default -> { }
             }
         }
-        return new Report(freeSlots, freeMemory, held);
+        return new Report(freeSlots, freeMemory, held, Double.NaN, errors);
     }
 
     String cmd() throws BadInput {
--- a/src/test/java/damsonslip/DeployTest.java
+++ b/src/test/java/damsonslip/DeployTest.java
@@ -1,9 +1,11 @@
 package damsonslip;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Set;
@@ -37,4 +39,18 @@
         assertTrue(run.startsWith("run = \"exec java "), run);
         assertTrue(Pattern.compile("[;&|]").matcher(run).results().findAny().isEmpty(), run);
     }
+
+    /** A start on part of a core has no time to make methods for joined texts, nor to read the calendars of the world. */
+    @Test
+    void startsMakeNoCodeAndLoadNoLocales() throws IOException {
+        try (Stream<Path> classes = Files.walk(Path.of("target/classes"))) {
+            for (Path path : classes.filter(file -> file.toString().endsWith(".class")).toList()) {
+                String code = Files.readString(path, StandardCharsets.ISO_8859_1);
+                assertFalse(code.contains("makeConcatWithConstants"), path + " joins text by code made at run time");
+            }
+        }
+        for (String line : Files.readAllLines(Path.of("deploy/balancer.toml")).subList(0, 2)) {
+            assertTrue(line.contains("-Djava.locale.providers=COMPAT"), "archived and run alike: " + line);
+        }
+    }
 }
--- a/src/test/java/damsonslip/FetchingWorkersTest.java
+++ b/src/test/java/damsonslip/FetchingWorkersTest.java
@@ -36,7 +36,7 @@
     }
 
     private static void offers(Script script, String worker, int free, int slots) {
-        script.give(new ProbeEnded(worker, true, new Report(free, Double.NaN, slots - free, slots)));
+        script.give(new ProbeEnded(worker, true, Report.offered(free, Double.NaN, slots - free, slots)));
     }
 
     private static void ended(Script script, String id, Outcome outcome) {
--- a/src/test/java/damsonslip/LargeFleetTest.java
+++ b/src/test/java/damsonslip/LargeFleetTest.java
@@ -4,19 +4,24 @@
 import static damsonslip.Script.jobClass;
 import static damsonslip.Script.settings;
 import static damsonslip.Script.worker;
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import damsonslip.Dispatch.AttemptEnded;
 import damsonslip.Dispatch.Effect;
 import damsonslip.Dispatch.Group;
 import damsonslip.Dispatch.JobClass;
 import damsonslip.Dispatch.ListMode;
 import damsonslip.Dispatch.Outcome;
+import damsonslip.Dispatch.Report;
 import damsonslip.Dispatch.Send;
 import damsonslip.Dispatch.Status;
 import damsonslip.Dispatch.WorkerState;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -55,6 +60,40 @@
         assertTrue(free < 1, "twenty reports in six seconds say that all are full: " + free);
     }
 
+    /** Guards against each dispatcher finding a failing worker by its own losses, when every report tells of all errors. */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.8, 3})
+    void whoeverHeardOfErrorsKeepsWhatMustNotBeRepeatedAway(double errors) {
+        Script script = new Script(settings(14, 0, jobClass(Effect.UNSAFE, Group.ALL))).workers(2);
+        List<Dispatch.Action> first = script.job("first");
+        String failing = Script.sentTo(first, "first");
+        script.pass(100_000);
+        script.give(new AttemptEnded("first", 0, Outcome.SERVED, true,
+            new Report(4, Double.NaN, Double.NaN, Double.NaN, errors)));
+        Set<String> used = new HashSet<>();
+        for (int i = 0; i < 20; i++) {
+            used.add(Script.sentTo(script.job("j" + i), "j" + i));
+            script.pass(150_000);
+            script.ended("j" + i, 0, Outcome.SERVED);
+        }
+        assertEquals(errors < 1, used.contains(failing), "one error in a second is chance, more are not: " + used);
+    }
+
+    /** Of many workers each dispatcher sees few jobs: two have to do, as long as nothing else is known of them. */
+    @Test
+    void aSlowWorkerIsFoundByFewJobs() {
+        Script script = new Script(settings(14, 0, SAFE)).workers(10);
+        Map<String, Integer> jobs = new HashMap<>();
+        for (int i = 0; i < 60; i++) {
+            String to = Script.sentTo(script.job("j" + i), "j" + i);
+            jobs.merge(to, 1, Integer::sum);
+            script.started("j" + i, 0);
+            script.pass(to.equals("w3") ? 400_000 : 100_000);
+            script.ended("j" + i, 0, Outcome.SERVED);
+        }
+        assertTrue(jobs.get("w3") <= 2, "a worker four times slower had " + jobs.get("w3") + " of 60 jobs");
+    }
+
     /** Workers of one release are all cold together: a dispatcher shall not have its turn at all or none of them. */
     @Test
     void turnsAtColdWorkersDoNotFallTogether() {
