--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -194,8 +194,11 @@
 
     /** The mean share of free slots that the reports of the last seconds tell of. */
     static final class Free {
-        /** A report's weight fades over about this long: in a release a fleet goes from idle to full in less than five. */
-        private static final double FADE_US = 3e6;
+        /**
+         * A report's weight fades over about this long: a release fills the workers that stay within some seconds. Over
+         * less, the one or two workers of a kind and zone that a small fleet's pool has would count for too little.
+         */
+        private static final double FADE_US = 10e6;
         /** What else is known counts as much as this many reports. */
         private static final double PRIOR = 2;
 
