--- a/src/test/java/damsonslip/LargeFleetTest.java
+++ b/src/test/java/damsonslip/LargeFleetTest.java
@@ -94,6 +94,22 @@
         assertTrue(jobs.get("w3") <= 2, "a worker four times slower had " + jobs.get("w3") + " of 60 jobs");
     }
 
+    /** Guards against turning away, beside slots seen free, what a small pool cannot take while its one worker is out. */
+    @Test
+    void aPoolWhoseWorkersAreOutBorrowsWhateverIsFree() {
+        Script script = new Script(settings(1, 0, SAFE, SAFE)).workers(8);
+        for (int i = 0; i < 100; i++) {
+            script.free = i % 20 == 0 ? 4 : 1.4; // of four: less than a pool lends in good times
+            script.job("j" + i, i % 20 == 0 ? 1 : 0, 0, null);
+            script.pass(100_000);
+            script.ended("j" + i, 0, Outcome.SERVED);
+        }
+        String own = Script.sentTo(script.job("x", 1, 0, null), "x");
+        script.ended("x", 0, Outcome.NOT_CONNECTED);
+        String lent = Script.sentTo(script.pass(110_000), "x");
+        assertTrue(lent != null && !lent.equals(own), "sent to " + own + ", then to " + lent);
+    }
+
     /** Workers of one release are all cold together: a dispatcher shall not have its turn at all or none of them. */
     @Test
     void turnsAtColdWorkersDoNotFallTogether() {
