--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -202,22 +202,10 @@
         /** What else is known counts as much as this many reports. */
         private static final double PRIOR = 2;
 
-        /** The whole fleet's workers tell enough in less. */
-        static final double FLEET_FADE_US = 3e6;
-
-        private final double fadeUs;
         private double sum;
         private double weight;
         private long at;
 
-        Free() {
-            this(FADE_US);
-        }
-
-        Free(double fadeUs) {
-            this.fadeUs = fadeUs;
-        }
-
         void learn(double share, long now) {
             double kept = kept(now);
             sum = sum * kept + share;
@@ -231,7 +219,7 @@
         }
 
         private double kept(long now) {
-            return weight == 0 ? 0 : Math.exp((at - now) / fadeUs);
+            return weight == 0 ? 0 : Math.exp((at - now) / FADE_US);
         }
     }
 
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -113,7 +113,7 @@
     private final double[] quotaLevel, tenantRate;
     private final int[] tenantArrivals, kindSlots;
     private final FreeSeen[] freeSeen;
-    private final Free[] freeAnywhere = {new Free(Free.FLEET_FADE_US), new Free(Free.FLEET_FADE_US)};
+    private final Free[] freeAnywhere = {new Free(), new Free()};
     private List<Worker> probeRound = List.of();
     private List<Action> actions;
     private double busier = 1, all, measured, probeAllowance;
