--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -257,11 +257,6 @@
             this.median = time;
         }
 
-        /** What the class earns by a slot in a microsecond. */
-        double value() {
-            return of.worth() / (time * slotsPerJob);
-        }
-
         /** What is known of the free slots of those like this one. */
         Free like(Worker w, boolean cold) {
             return free[cold ? free.length / 2 + w.kind : w.kind][w.zone];
--- a/src/main/java/damsonslip/fleet/Fleet.java
+++ b/src/main/java/damsonslip/fleet/Fleet.java
@@ -64,10 +64,7 @@
     static final class Worker {
         private long startedUs = Long.MIN_VALUE;
         private boolean running;
-        /** The newest news of it is a job that started or a link that held. */
-        private boolean reached;
         private int inUse;
-        private int begun;
         private int most;
         private final Map<Integer, Mean> times = new HashMap<>();
         /** Work begun while it was cold, by windows of the stated length since its start: microseconds of slots. */
@@ -223,12 +220,10 @@
 
     private void started(Scheduler scheduler, Line line) {
         Query query = scheduler.open.get(line.what());
-        if (query != null && query.last != null && query.last.startedUs == 0) {
+        if (query != null && query.last != null) {
             query.last.startedUs = line.atUs();
             Worker worker = workers.get(query.last.to);
-            worker.begun += query.slots;
-            worker.most = Math.max(worker.most, worker.begun); // a slot that has run a job is there
-            worker.reached = true;
+            worker.most = Math.max(worker.most, worker.inUse); // a slot that has run a job is there
         }
     }
 
@@ -243,7 +238,6 @@
         Execution execution = query.last;
         leave(execution);
         execution.ended = how;
-        workers.get(execution.to).reached &= !List.of("NOT_CONNECTED", "RESET", "TIMED_OUT").contains(how);
         if (how.equals("SERVED")) {
             double took = line.atUs() - (execution.startedUs > 0 ? execution.startedUs : execution.sentUs);
             workers.get(execution.to).times.computeIfAbsent(query.jobClass, fresh -> new Mean()).add(took);
@@ -254,9 +248,7 @@
     }
 
     private void leave(Execution execution) {
-        Worker worker = workers.get(execution.to);
-        worker.inUse -= execution.slots;
-        worker.begun -= execution.startedUs > 0 ? execution.slots : 0;
+        workers.get(execution.to).inUse -= execution.slots;
     }
 
     private void answered(Scheduler scheduler, Line line) {
@@ -321,7 +313,7 @@
 
     /** Free slots of warm workers, as nobody could know them: what has run there at once, less what all have there. */
     private int room(long now) {
-        return workers.values().stream().filter(w -> w.running && w.reached && now - w.startedUs >= coldUs)
+        return workers.values().stream().filter(w -> w.running && now - w.startedUs >= coldUs)
             .mapToInt(w -> Math.max(0, w.most - w.inUse)).sum();
     }
 
