--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -592,19 +592,13 @@
         return w == null && waited ? borrow(pool, job) : w;
     }
 
-    /** What a class earns by a slot in a second. */
-    private static double value(Pool pool) {
-        return pool.of.worth() / (pool.time * pool.slotsPerJob);
-    }
-
     /** A worker of another pool that is mostly free, or of any if none of the own can ever take the job. */
     private Worker borrow(Pool pool, Job job) {
         boolean foreign = job.ask.fits() != null && pool.members.stream().noneMatch(w -> job.ask.fits(w.id));
         boolean lost = pressed(job) || pool.members.stream().noneMatch(w -> mayTake(w, job));
         double spare = lost ? 0 : SPARE; // nothing is turned away beside a slot seen free
         for (Pool other : pools) {
-            boolean spared = other.hold.isEmpty() && freeShare(other) >= spare;
-            if (other != pool && (foreign || spared || value(pool) > value(other))) {
+            if (other != pool && (foreign || other.hold.isEmpty() && freeShare(other) >= spare)) {
                 Worker w = choose(other, job, true);
                 if (w != null) {
                     borrowed++;
