--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -763,6 +763,7 @@
         if (again && workers.values().stream().anyMatch(w -> w != a.worker && mayTake(w, job)
             && free(w) >= job.ask.slots() && (!grouped(pool) || sameGroup(pool, w, a.worker)))) {
             strike(a.worker, true);
+            moved(a.worker, job);
             moved++;
             actions.add(new Cancel(job.ask.job(), job.attempts.size() - 1));
         } else {
@@ -770,6 +771,15 @@
         }
     }
 
+    private void moved(Worker w, Job job) {
+        full(w);
+        w.others += job.ask.slots();
+        freeAnywhere[cold(w) ? 1 : 0].learn(0, now);
+        if (w.pool != null) {
+            w.pool.like(w, cold(w)).learn(0, now);
+        }
+    }
+
     private Attempt attempt(String id, int number) {
         Job job = jobs.get(id);
         return job == null || number < 0 || number >= job.attempts.size() ? null : job.attempts.get(number);
@@ -819,9 +829,7 @@
                 w.paced(pools[a.job.ask.jobClass()].timed(w, took), now);
             }
             case FULL -> {
-                w.others = w.slots(kindSlots) - w.own;
-                w.reportedFree = 0;
-                w.reportedAt = now;
+                full(w);
                 w.pausedUntil = Math.max(w.pausedUntil, now + FULL_US / 2 + random.nextLong(FULL_US));
             }
             // an error counts too: a worker that fails at once looks free, and would draw all there is
@@ -835,6 +843,13 @@
         }
     }
 
+    /** It has no free slot just now. */
+    private void full(Worker w) {
+        w.others = w.slots(kindSlots) - w.own;
+        w.reportedFree = 0;
+        w.reportedAt = now;
+    }
+
     private void strike(Worker w, boolean suspect) {
         if (suspect && now >= w.pausedUntil) { // what fails together with the first is one failure
             long pause = PAUSE_US << Math.min(w.strikes++, MOST_DOUBLINGS);
