--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -103,6 +103,22 @@
             return !(slots > 0) || outcome != Dispatch.Outcome.ERROR || ++errors > FEW;
         }
 
+        /** This part of its slots is free: tells of those like it as well. */
+        void tells(double part, boolean cold, Free[] anywhere, long now) {
+            anywhere[cold ? 1 : 0].learn(part, now);
+            if (pool != null) {
+                pool.like(this, cold).learn(part, now);
+            }
+        }
+
+        /** It has no free slot just now. */
+        void full(int[] ofKinds, boolean cold, Free[] anywhere, long now) {
+            others = slots(ofKinds) - own;
+            reportedFree = 0;
+            reportedAt = now;
+            tells(0, cold, anywhere, now);
+        }
+
         /** Its slots: what it says itself, or else what its kind is taken to have. */
         double slots(int[] ofKinds) {
             return slots > 0 ? slots : ofKinds[kind];
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -315,12 +315,7 @@
                 w.sentMemory += a.job.ask.memory();
             }
         }
-        double part = Math.min(1, free / w.slots(kindSlots));
-        freeAnywhere[cold(w) ? 1 : 0].learn(part, now);
-        if (w.pool != null) {
-            w.pool.like(w, cold(w)).learn(part, now);
-            w.pool.full = false;
-        }
+        w.tells(Math.min(1, free / w.slots(kindSlots)), cold(w), freeAnywhere, now);
         w.failing = report.errors() > FAILING;
         if (w.failing) { // as though struck before: what must not be repeated is not how to find out
             w.strikes = Math.max(w.strikes, 1);
@@ -818,10 +813,13 @@
                 double took = now - (a.started == 0 ? a.sent : a.started);
                 w.paced(pools[a.job.ask.jobClass()].timed(w, took), now);
             }
+            case CANCELLED -> { // what has not started in its time says as much as a report
+                if (settings.tellsStart() && a.started == 0 && now - a.sent > START_US) {
+                    w.full(kindSlots, cold(w), freeAnywhere, now);
+                }
+            }
             case FULL -> {
-                w.others = w.slots(kindSlots) - w.own;
-                w.reportedFree = 0;
-                w.reportedAt = now;
+                w.full(kindSlots, cold(w), freeAnywhere, now);
                 w.pausedUntil = Math.max(w.pausedUntil, now + FULL_US / 2 + random.nextLong(FULL_US));
             }
             // an error counts too: a worker that fails at once looks free, and would draw all there is
--- a/src/test/java/damsonslip/LargeFleetTest.java
+++ b/src/test/java/damsonslip/LargeFleetTest.java
@@ -130,6 +130,29 @@
         assertEquals(worth > 1, used > 4, "half of the workers are its own: it used " + used);
     }
 
+    /** Guards against sending job after job to full workers while no report comes: what does not start tells as much. */
+    @Test
+    void aJobThatDoesNotStartTellsThatItsWorkerAndThoseLikeItAreFull() {
+        Script script = new Script(settings(14, 0, SAFE)).workers(8);
+        for (int i = 0; i < 40; i++) {
+            script.job("j" + i);
+            script.started("j" + i, 0);
+            script.pass(100_000);
+            script.ended("j" + i, 0, Outcome.SERVED);
+        }
+        double before = free(script);
+        String to = Script.sentTo(script.job("x"), "x");
+        script.pass(110_000); // and it is moved
+        script.ended("x", 0, Outcome.CANCELLED);
+        script.pass(20_000);
+        assertTrue(script.rules.workers(script.now).stream().anyMatch(w -> w.id().equals(to) && w.free() < 1.5), to);
+        assertTrue(free(script) < before - 0.5, "from " + before + " to " + free(script));
+    }
+
+    private static double free(Script script) {
+        return script.rules.workers(script.now).stream().mapToDouble(WorkerState::free).average().orElseThrow();
+    }
+
     /** Workers of one release are all cold together: a dispatcher shall not have its turn at all or none of them. */
     @Test
     void turnsAtColdWorkersDoNotFallTogether() {
