Count connections as they are admitted, so that a crowd cannot pass the bound together

Seen by a new test: of two processes that share 300 descriptors, a crowd of 600 connections once held 323 sockets. Links.accepted looked at Room.mayAccept, but the count rose only when Jetty set the connection up (Room.coming from Accepting.open), on another thread: all that one round of accepting brought passed the same look.

Change: Accepting.admit takes the room as the connection is accepted; turnedBack gives it back where the set-up fails (Links.admitted, onAcceptFailed). The console's, the second address's and Faktory's doors follow.

Also the tests that daily running lacked: a ban that meets a link being opened (fails without Driver.bars in ServerSide.maySend) and one that meets a probe. The ledger tells a scheduler that ended from one whose log ends.

--- a/src/main/java/damsonslip/console/Control.java
+++ b/src/main/java/damsonslip/console/Control.java
@@ -15,6 +15,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.io.EndPoint;
 
 /** What an operator's console may ask of a running scheduler; it listens only where it is told to. */
@@ -26,7 +27,7 @@
     private final Counters counters;
     private final Front front;
     private final Operations operations;
-    private volatile int open;
+    private final AtomicInteger open = new AtomicInteger();
 
     public Control(Loop loop, Counters counters, Front front, Operations operations) {
         this.loop = loop;
@@ -44,21 +45,22 @@
     }
 
     @Override
-    public boolean mayAccept() {
-        return open < MOST_LINKS;
+    public boolean admit() {
+        return open.getAndUpdate(count -> count < MOST_LINKS ? count + 1 : count) < MOST_LINKS;
     }
 
     @Override
-    public Link open(EndPoint endPoint) {
-        return new ControlLink(endPoint, this);
+    public void turnedBack() {
+        open.decrementAndGet();
     }
 
-    void opened() {
-        open++;
+    @Override
+    public Link open(EndPoint endPoint) {
+        return new ControlLink(endPoint, this);
     }
 
     void closed() {
-        open--;
+        open.decrementAndGet();
     }
 
     Loop loop() {
--- a/src/main/java/damsonslip/console/ControlLink.java
+++ b/src/main/java/damsonslip/console/ControlLink.java
@@ -22,7 +22,7 @@
 
     @Override
     protected void opened() {
-        control.opened();
+        // it was counted when it was admitted
     }
 
     @Override
--- a/src/main/java/damsonslip/faktory/Faktory.java
+++ b/src/main/java/damsonslip/faktory/Faktory.java
@@ -164,13 +164,17 @@
     }
 
     @Override
-    public boolean mayAccept() {
-        return links.mayAccept();
+    public boolean admit() {
+        return links.admit();
+    }
+
+    @Override
+    public void turnedBack() {
+        links.turnedBack();
     }
 
     @Override
     public Link open(EndPoint endPoint) {
-        links.coming();
         return new FaktoryLink(endPoint, this);
     }
 
--- a/src/main/java/damsonslip/fleet/Fleet.java
+++ b/src/main/java/damsonslip/fleet/Fleet.java
@@ -114,7 +114,7 @@
 
     /** No more lines come: what is open stays so. */
     public void end() {
-        schedulers.values().forEach(this::died);
+        schedulers.values().forEach(scheduler -> ended(scheduler, Loss.OPEN_AT_END));
     }
 
     int schedulers() {
@@ -122,7 +122,7 @@
     }
 
     private void begun(Scheduler scheduler, Line line) {
-        died(scheduler); // in the same file a second beginning is a restart
+        ended(scheduler, Loss.SCHEDULER_ENDED); // in the same file a second beginning is a restart
         scheduler.counts.clear();
         scheduler.listedUs = 0;
         offsetUs = (long) line.number("atUs") - line.atUs();
@@ -131,12 +131,12 @@
         fallMultiple = line.number("fallMultiple");
     }
 
-    private void died(Scheduler scheduler) {
+    private void ended(Scheduler scheduler, Loss why) {
         for (Query query : scheduler.open.values()) {
             if (query.last != null && query.last.ended.isEmpty()) {
                 leave(query.last);
             }
-            lost(Loss.SCHEDULER_ENDED, query);
+            lost(why, query);
         }
         scheduler.open.clear();
     }
--- a/src/main/java/damsonslip/fleet/Loss.java
+++ b/src/main/java/damsonslip/fleet/Loss.java
@@ -2,7 +2,8 @@
 
 /** Why a query earned nothing: one reason for each, the first that holds. */
 public enum Loss {
-    SCHEDULER_ENDED("its scheduler ended with it open"),
+    SCHEDULER_ENDED("its scheduler ended with it open, and began anew"),
+    OPEN_AT_END("still open where its scheduler's log ends"),
     STALE_LIST("sent to a worker that some list had told as leaving"),
     AFTER_ERROR("given up after an execution that ended in error"),
     AFTER_LINK("given up after an execution whose link broke or never came up"),
--- a/src/main/java/damsonslip/net/Links.java
+++ b/src/main/java/damsonslip/net/Links.java
@@ -36,6 +36,8 @@
 
     private final Loop loop;
     private final Map<SocketAddress, Accepting> accepting = new ConcurrentHashMap<>();
+    /** Accepted, and not yet set up. */
+    private final Map<SelectableChannel, Accepting> admitted = new ConcurrentHashMap<>();
 
     /** Makes the link for a connection that is up. */
     public interface Opening {
@@ -47,8 +49,11 @@
 
     /** Decides on connections that come in. */
     public interface Accepting extends Opening {
-        /** Whether there is room for one more. */
-        boolean mayAccept();
+        /** Takes room for one more, if there is any: it will be opened or turned back. Called on any thread. */
+        boolean admit();
+
+        /** What was admitted has failed before it was opened. Called on any thread. */
+        void turnedBack();
     }
 
     private Links(Loop loop, QueuedThreadPool threads) {
@@ -174,14 +179,28 @@
     protected void accepted(SelectableChannel channel) throws IOException {
         SocketChannel accepted = (SocketChannel) channel;
         Accepting taker = accepting.get(accepted.getLocalAddress());
-        if (taker == null || !taker.mayAccept()) {
+        if (taker == null || !taker.admit()) {
             close(channel);
             return;
         }
-        accepted.configureBlocking(false);
-        accepted.setOption(StandardSocketOptions.TCP_NODELAY, true);
-        accepted.setOption(StandardSocketOptions.SO_SNDBUF, ANSWER_BUFFER);
-        accept(channel, taker);
+        admitted.put(channel, taker);
+        try {
+            accepted.configureBlocking(false);
+            accepted.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            accepted.setOption(StandardSocketOptions.SO_SNDBUF, ANSWER_BUFFER);
+            accept(channel, taker);
+        } catch (IOException | RuntimeException e) {
+            onAcceptFailed(channel, e);
+            throw e;
+        }
+    }
+
+    @Override
+    protected void onAcceptFailed(SelectableChannel channel, Throwable cause) {
+        Accepting taker = admitted.remove(channel);
+        if (taker != null) {
+            taker.turnedBack();
+        }
     }
 
     @Override
@@ -191,6 +210,7 @@
 
     @Override
     public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment) {
+        admitted.remove(channel);
         return ((Opening) attachment).open(endPoint);
     }
 
--- a/src/main/java/damsonslip/net/Room.java
+++ b/src/main/java/damsonslip/net/Room.java
@@ -9,8 +9,8 @@
 
 /**
  * The connections that there is room for. Guards usual clients against those that open hundreds and say nothing:
- * when it is full, the newest is let in and the one that is missed least has to go. All but {@link #mayAccept} and
- * {@link #coming} is called on the loop.
+ * when it is full, the newest is let in and the one that is missed least has to go. All but {@link #admit} and
+ * {@link #turnedBack} is called on the loop.
  */
 public final class Room<L extends Link> {
     private volatile int most;
@@ -39,14 +39,18 @@
         overflow = more;
     }
 
-    /** Whether one more can be held at all. */
-    public boolean mayAccept() {
-        return held.get() < most + overflow;
+    /**
+     * Takes room for one more, if it can be held at all; it will be told as opened and closed, or as turned back. Guards
+     * against a crowd accepted at one go: counted only once each is set up, it would pass a look at the count together.
+     */
+    public boolean admit() {
+        int limit = most + overflow;
+        return held.getAndUpdate(count -> count < limit ? count + 1 : count) < limit;
     }
 
-    /** A connection was accepted, and will be told as opened and closed. */
-    public void coming() {
-        held.incrementAndGet();
+    /** What was admitted never came to be opened. */
+    public void turnedBack() {
+        held.decrementAndGet();
     }
 
     /** Takes it in; if all others are needed, it is the one that goes. */
--- a/src/main/java/damsonslip/platform/clients/ClientSide.java
+++ b/src/main/java/damsonslip/platform/clients/ClientSide.java
@@ -111,13 +111,17 @@
     }
 
     @Override
-    public boolean mayAccept() {
-        return room.mayAccept();
+    public boolean admit() {
+        return room.admit();
+    }
+
+    @Override
+    public void turnedBack() {
+        room.turnedBack();
     }
 
     @Override
     public Link open(EndPoint endPoint) {
-        room.coming();
         return new ClientLink(endPoint, this);
     }
 
--- a/src/test/java/damsonslip/kit/Program.java
+++ b/src/test/java/damsonslip/kit/Program.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
 
 /** The real program as a process of its own, started as an operator would start it. */
 public final class Program implements AutoCloseable {
@@ -87,6 +88,21 @@
         process.destroyForcibly();
     }
 
+    /** How many sockets it has open, as the system counts them. */
+    public int sockets() throws IOException {
+        try (Stream<Path> open = Files.list(Path.of("/proc", Long.toString(process.pid()), "fd"))) {
+            return (int) open.filter(Program::isSocket).count();
+        }
+    }
+
+    private static boolean isSocket(Path descriptor) {
+        try {
+            return Files.readSymbolicLink(descriptor).toString().startsWith("socket:");
+        } catch (IOException e) {
+            return false; // closed meanwhile
+        }
+    }
+
     /** Waits for its exit. */
     public int exit() throws InterruptedException {
         return exit(20);
--- a/src/test/java/damsonslip/platform/DailyRunningTest.java
+++ b/src/test/java/damsonslip/platform/DailyRunningTest.java
@@ -7,12 +7,19 @@
 import damsonslip.kit.Peer.Message;
 import damsonslip.kit.Program;
 import java.io.IOException;
+import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 /** What operators do with a running scheduler, over its second address. */
@@ -165,6 +172,88 @@
         assertEquals(1, jobs("b"));
     }
 
+    /** The link to a worker comes up only after it was taken out: what it was opened for goes elsewhere, unsent. */
+    @Test
+    void aBanThatMeetsALinkBeingOpenedHoldsForIt() throws Exception {
+        List<Socket> fill = new ArrayList<>();
+        try (ServerSocket busy = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            while (connects(busy, fill)) {
+                assertTrue(fill.size() < 20, "its queue of connections is soon full");
+            }
+            String known = list(7, true, entry("a", busy.getLocalPort(), "ready"), worker("b", SERVE));
+            Path file = config(known, mgmt(mgmt));
+            Files.writeString(file, Files.readString(file).replace("\"dial_timeout_s\":0.25", "\"dial_timeout_s\":5"));
+            program = new Program(file, "serve").awaitWord("listens on");
+            Program.await("it is ready", () -> call("READY").startsWith("YES"));
+            call("DISABLE b");
+            try (Peer client = Peer.connect(port).send(query("q1", "submit", "5000m"))) {
+                Thread.sleep(300);
+                assertTrue(call("DISABLE a").startsWith("YES"));
+                call("ENABLE b");
+                int bytes = 0;
+                for (int i = 0; i <= fill.size(); i++) { // the last one is the program's
+                    try (Socket taken = busy.accept()) {
+                        taken.setSoTimeout(i < fill.size() ? 1 : 1_000);
+                        bytes += taken.getInputStream().read() >= 0 ? 1 : 0;
+                    } catch (SocketTimeoutException e) {
+                        // nothing is written to it
+                    }
+                }
+                assertEquals(0, bytes, "a worker that is out got a job on a link that came up late");
+                assertEquals("r-q1", client.message().body());
+            }
+        } finally {
+            for (Socket socket : fill) {
+                socket.close();
+            }
+        }
+    }
+
+    private static boolean connects(ServerSocket server, List<Socket> fill) throws IOException {
+        Socket socket = new Socket();
+        fill.add(socket);
+        try {
+            socket.connect(server.getLocalSocketAddress(), 200);
+            return true;
+        } catch (SocketTimeoutException e) {
+            fill.remove(socket);
+            socket.close();
+            return false;
+        }
+    }
+
+    /** A probe that was under way tells of room; it opens no door, and no further one is sent. */
+    @Test
+    void aBanThatMeetsAProbeStands() throws Exception {
+        CountDownLatch out = new CountDownLatch(1);
+        AtomicInteger probes = new AtomicInteger();
+        Work probed = (peer, job) -> {
+            if (!job.first().startsWith("GET /load")) {
+                SERVE.on(peer, job);
+                return;
+            }
+            probes.incrementAndGet();
+            out.await(200, TimeUnit.MILLISECONDS); // its answer comes after the ban, and in time
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n{\"x0\":9}");
+        };
+        Path file = config(list(7, true, worker("a", probed), worker("b", SERVE)), mgmt(mgmt));
+        Files.writeString(file, Files.readString(file).replace("\"limits\":{\"send_cap\"",
+            "\"reporting\":{\"how\":\"pull\"},\"limits\":{\"may_probe\":true,\"send_cap\""));
+        program = new Program(file, "serve").awaitWord("listens on");
+        Program.await("a probe is under way", () -> probes.get() > 0);
+        assertTrue(call("DISABLE a").startsWith("YES"));
+        out.countDown();
+        Thread.sleep(300); // whatever was on its way has come
+        int before = jobs("a");
+        for (int i = 0; i < 12; i++) {
+            assertEquals(200, ask(query("q" + i, "read", "2000m")).status());
+        }
+        Thread.sleep(800);
+        assertEquals(before, jobs("a"), "neither a job nor a probe");
+        call("ENABLE a");
+        Program.await("it is probed again", () -> jobs("a") > before);
+    }
+
     /** The front hears no at once; who comes meanwhile is served; and nothing is held 4 s after the call. */
     @Test
     void aDrainSendsClientsAwayAndCanBeTakenBack() throws Exception {
--- a/src/test/java/damsonslip/platform/UpgradeTest.java
+++ b/src/test/java/damsonslip/platform/UpgradeTest.java
@@ -96,6 +96,45 @@
         Program.await("the new one is alone", () -> next.said().contains("processes of this scheduler: 1"));
     }
 
+    /** Two processes are one scheduler: a crowd gets no more descriptors from both than the configuration gives. */
+    @Test
+    void bothProcessesShareTheDescriptorsOfOne() throws Exception {
+        String a = worker("a", SERVE);
+        Path file = config(list(7, true, a), mgmt(first));
+        Files.writeString(file, Files.readString(file).replace("\"sockets\":1024", "\"sockets\":300"));
+        Program old = new Program(file, "serve");
+        programs.add(old);
+        Program.await("it is ready", () -> call(first, "READY").startsWith("YES"));
+        Path other = config(list(7, true, a), mgmt(second));
+        Files.writeString(other, Files.readString(other).replace("\"sockets\":1024", "\"sockets\":300"));
+        Program next = new Program(other, "serve");
+        programs.add(next);
+        Program.await("the second one is ready", () -> call(second, "READY").startsWith("YES"));
+        Program.await("the old one knows", () -> old.said().contains("processes of this scheduler: 2"));
+        List<Peer> crowd = new ArrayList<>();
+        try {
+            int most = 0;
+            for (int i = 0; i < 600; i++) {
+                crowd.add(Peer.connect(port));
+                most = i % 20 == 0 ? Math.max(most, old.sockets() + next.sockets()) : most;
+            }
+            most = Math.max(most, old.sockets() + next.sockets());
+            // clients have half of them and the overflow, an eighth; the rest is the workers' links' and the program's own
+            assertTrue(most > 100 && most <= 200, most + " sockets in both");
+            Program.await("a usual client gets in once the crowd has been sorted", () -> {
+                try {
+                    return ask(query("q" + System.nanoTime(), "read", "2000m")).status() == 200;
+                } catch (IOException e) {
+                    return false;
+                }
+            });
+        } finally {
+            for (Peer each : crowd) {
+                each.close();
+            }
+        }
+    }
+
     /** While both live, an idle connection at the old one finds it healthy, and is ended soon after its end is told. */
     @Test
     void theOldOneLeavesAtOnceAndKeepsTheFrontSatisfied() throws Exception {
--- a/src/test/java/damsonslip/program/FleetLogsTest.java
+++ b/src/test/java/damsonslip/program/FleetLogsTest.java
@@ -103,7 +103,7 @@
         has(report, "3 16\\.7% 1 served late by a cold worker");
         has(report, "3 16\\.7% 1 turned away at once while warm workers had free slots");
         has(report, "3 16\\.7% 1 given up after an execution that ended in error");
-        has(report, "3 16\\.7% 1 its scheduler ended with it open");
+        has(report, "3 16\\.7% 1 its scheduler ended with it open, and began anew");
     }
 
     @Test
