--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -406,7 +406,7 @@
         double sum = Arrays.stream(pools).mapToDouble(Rules::load).sum();
         if (sum > 0 && Arrays.stream(pools).anyMatch(p -> Math.abs(load(p) / sum - p.dealt) > MOVE / GRID)) {
             for (Pool pool : pools) {
-                pool.dealt = Math.max(1, Math.rint(load(pool) / sum * GRID)) / GRID;
+                pool.dealt = 1.0 / pools.length;
             }
         }
         all = Math.max(1, sum * settings.dispatchers());
