--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -757,7 +757,6 @@
         boolean again = mayRepeat(job, job.risk == null ? a : job.risk);
         if (again && workers.values().stream().anyMatch(w -> w != a.worker && mayTake(w, job)
             && free(w) >= job.ask.slots() && (!grouped(pool) || sameGroup(pool, w, a.worker)))) {
-            strike(a.worker, true);
             moved++;
             actions.add(new Cancel(job.ask.job(), job.attempts.size() - 1));
         } else {
