--- a/src/test/java/damsonslip/LargeFleetTest.java
+++ b/src/test/java/damsonslip/LargeFleetTest.java
@@ -12,9 +12,11 @@
 import damsonslip.Dispatch.Group;
 import damsonslip.Dispatch.JobClass;
 import damsonslip.Dispatch.ListMode;
+import damsonslip.Dispatch.ListUpdate;
 import damsonslip.Dispatch.Outcome;
 import damsonslip.Dispatch.Report;
 import damsonslip.Dispatch.Send;
+import damsonslip.Dispatch.SetTimer;
 import damsonslip.Dispatch.Status;
 import damsonslip.Dispatch.WorkerState;
 import java.util.ArrayList;
@@ -149,6 +151,36 @@
         assertTrue(free(script) < before - 0.5, "from " + before + " to " + free(script));
     }
 
+    /** Discovery fails for all at once, again and again: what they do next does not come in step. */
+    @ParameterizedTest
+    @ValueSource(ints = {14, 100})
+    void callsForTheListAndReDealingSpreadOut(int dispatchers) {
+        List<Long> calls = new ArrayList<>();
+        List<Long> deals = new ArrayList<>();
+        for (int number = 0; number < dispatchers; number++) {
+            Rules rules = new Rules(settings(dispatchers, number, List.of(), true, SAFE), 1_000 + number);
+            List<Dispatch.Action> actions = new ArrayList<>();
+            for (int failure = 0; failure < 4; failure++) {
+                actions.clear();
+                rules.handle(SECOND + failure, new ListUpdate(ListMode.FAILED, List.of()), actions);
+                Script.only(actions, SetTimer.class).forEach(timer -> {
+                    if (timer.label().equals("deal")) {
+                        deals.add(timer.atUs());
+                    }
+                });
+            }
+            calls.add(Script.only(actions, SetTimer.class).get(0).atUs());
+        }
+        assertTrue(crowd(calls, 100_000) < dispatchers / 5 + 3, "calls in a tenth of a second: " + crowd(calls, 100_000));
+        assertTrue(crowd(deals, 50_000) < dispatchers / 5 + 3, "deals in a twentieth: " + crowd(deals, 50_000));
+    }
+
+    /** The most of them that fall into any stretch of this length. */
+    private static long crowd(List<Long> times, long length) {
+        return times.stream().mapToLong(from -> times.stream().filter(at -> at >= from && at < from + length).count())
+            .max().orElseThrow();
+    }
+
     private static double free(Script script) {
         return script.rules.workers(script.now).stream().mapToDouble(WorkerState::free).average().orElseThrow();
     }
