--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -318,7 +318,7 @@
         w.tells(Math.min(1, free / w.slots(kindSlots)), cold(w), freeAnywhere, now);
         w.failing = report.errors() > FAILING;
         if (w.failing) { // as though struck before: what must not be repeated is not how to find out
-            w.strikes = Math.max(w.strikes, 1);
+            w.strikes = Math.max(w.strikes, 2);
             strike(w, true);
         } else if (free >= 1) {
             w.pausedUntil = w.strikes == 0 ? 0 : w.pausedUntil;
@@ -685,7 +685,7 @@
     /** A worker struck more than once is tried with what may be repeated, if there are others. */
     private boolean trusts(Worker w, Job job) {
         return w.strikes < 2 || pools[job.ask.jobClass()].of.effect() == Effect.SAFE
-            || now > w.pausedUntil + TRUST_US
+            || now > w.pausedUntil + (w.failing ? 5 : 1) * TRUST_US
             || workers.values().stream().noneMatch(other -> other.running && other.strikes < 2);
     }
 
