--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -823,7 +823,11 @@
                 w.pausedUntil = Math.max(w.pausedUntil, now + FULL_US / 2 + random.nextLong(FULL_US));
             }
             // an error counts too: a worker that fails at once looks free, and would draw all there is
-            case ERROR, NOT_CONNECTED, TIMED_OUT -> strike(w, w.suspect(outcome));
+            case ERROR, NOT_CONNECTED, TIMED_OUT -> {
+                boolean suspect = w.suspect(outcome);
+                w.strikes = Math.max(w.strikes, suspect && outcome == Outcome.ERROR ? 1 : 0);
+                strike(w, suspect); // after an error nothing that must not be repeated finds out whether it lasts
+            }
             case RESET -> { // a lost link alone says little about a worker that has just answered on others
                 if (now - w.answeredAt > ALIVE_US || w.strikes > 0) {
                     strike(w, true);
