Say when clients go for what they hold, so that its test needs no clock

It told the heap's budget from the least pace by 4.5 s of time, which a busy machine uses up. Now the log names the budget (ClientSide.checkBudget) and the test counts that line.

--- a/src/main/java/damsonslip/platform/clients/ClientSide.java
+++ b/src/main/java/damsonslip/platform/clients/ClientSide.java
@@ -163,9 +163,12 @@
      */
     void checkBudget(Outflow newest) {
         if (newest.waits()) {
-            Budget.over(Runtime.getRuntime().maxMemory() / PART_OF_HEAP, room.all().stream()
-                .filter(link -> link.reading().waits()).map(link -> link.reading().holding(link)).toList())
-                .forEach(ClientLink::readsNothing);
+            List<ClientLink> over = Budget.over(Runtime.getRuntime().maxMemory() / PART_OF_HEAP, room.all().stream()
+                .filter(link -> link.reading().waits()).map(link -> link.reading().holding(link)).toList());
+            over.forEach(link -> {
+                LOG.warn("answers that are not read hold more than their part of the heap");
+                link.readsNothing();
+            });
         }
     }
 
--- a/src/test/java/damsonslip/platform/SlowPeersTest.java
+++ b/src/test/java/damsonslip/platform/SlowPeersTest.java
@@ -63,7 +63,6 @@
         program = new Program(config(list(7, true, worker("a", LARGE), worker("b", LARGE))), List.of("-Xmx32m"), "serve")
             .awaitWord("listens on");
         List<Socket> silent = new ArrayList<>();
-        long before = System.nanoTime();
         try {
             for (int i = 0; i < 100; i++) {
                 silent.add(asking("q" + i));
@@ -72,9 +71,8 @@
             for (int i = 0; i < 20; i++) {
                 assertEquals(200, ask(query("s" + i, "submit", "4000m")).status(), "who reads is served as ever");
             }
-            Program.await("half of them are let go", () -> program.said().lines()
-                .filter(line -> line.contains("a client reads nothing of its answer")).count() >= 50);
-            assertTrue(System.nanoTime() - before < 4_500_000_000L, "for what they hold, not for their pace");
+            Program.await("half of them are let go for what they hold, not for their pace", () -> program.said().lines()
+                .filter(line -> line.contains("answers that are not read hold more")).count() >= 50);
         } finally {
             for (Socket client : silent) {
                 client.close();
