Show the slowest peers in the console: what waits for them, their pace, how long they may go on

Seen: a let-go was counted and logged, but nobody could see who was about to be let go, nor why the heap's budget was spent. Rejected: a register of slow links kept beside the links, which would cost every link something; the list is made when it is asked for, by one pass over the links on the loop. Tests on the real program: a client that reads nothing and a worker that stands still, a Faktory peer in the middle of a line.

--- a/src/main/java/damsonslip/console/Commands.java
+++ b/src/main/java/damsonslip/console/Commands.java
@@ -4,8 +4,8 @@
 
 /** What can be asked, and how it is explained. */
 final class Commands {
-    static final List<String> NAMES = List.of("workers", "pools", "queues", "counters", "waits", "stats", "phase",
-        "disable", "enable", "drain", "undrain", "help", "quit");
+    static final List<String> NAMES = List.of("workers", "pools", "queues", "counters", "waits", "slow", "stats",
+        "phase", "disable", "enable", "drain", "undrain", "help", "quit");
     static final String HELP = """
         workers    each worker: its state, what it has of ours, its free slots, its pool
         pools      each class's pool: its workers and slots, the rate and length of its jobs
@@ -13,6 +13,7 @@
         counters   what was taken in, sent and answered since the start
         phase      where the program stands between its start and its exit
         waits      how long the loop has made things wait for their turn, since the start
+        slow       peers that something is due from: what waits for them, their pace, how long they may go on
         stats      the figures that the second address gives, by class
         disable ID nothing new goes to this worker from now on
         enable ID  this worker is used again, as one that has just started
--- a/src/main/java/damsonslip/console/Control.java
+++ b/src/main/java/damsonslip/console/Control.java
@@ -5,6 +5,7 @@
 import damsonslip.core.Counters;
 import damsonslip.core.Front;
 import damsonslip.core.Loop;
+import damsonslip.core.SlowPeer;
 import damsonslip.core.Waits;
 import damsonslip.net.Address;
 import damsonslip.net.Link;
@@ -75,6 +76,7 @@
             case "pools" -> pools(front.driver().pools());
             case "queues" -> queues(front.driver().pools());
             case "waits" -> waits();
+            case "slow" -> slow();
             case "counters" -> counters();
             case "phase" -> operations.ready().words();
             case "stats" -> figures();
@@ -129,6 +131,15 @@
                 waits.percentileUs(99) / 1e3, waits.percentileUs(99.9) / 1e3, waits.longestUs() / 1e3)).toString();
     }
 
+    private String slow() {
+        StringBuilder text = row("%-22s %-16s %9s %9s %6s", "peer", "what it does", "bytes", "bytes/s", "left s");
+        for (SlowPeer slow : front.slowPeers()) {
+            text.append(row("%-22s %-16s %9d %9.0f %6.1f", slow.peer(), slow.what(), slow.waiting(), slow.rate(),
+                slow.leftUs() / 1e6));
+        }
+        return text.toString();
+    }
+
     private String counters() {
         StringBuilder text = new StringBuilder();
         counters.each((name, count) -> text.append(row("%-26s %10d", name, count)));
--- a/src/main/java/damsonslip/core/Front.java
+++ b/src/main/java/damsonslip/core/Front.java
@@ -2,6 +2,7 @@
 
 import damsonslip.settings.BadInput;
 import java.io.IOException;
+import java.util.List;
 
 /** What speaks to clients and workers: one of these is put round the core. */
 public interface Front {
@@ -28,6 +29,11 @@
     /** Gives up what is held open, once everything has ended. */
     default void close() { }
 
+    /** Peers that are slow just now, the next to be let go first; called on the loop. */
+    default List<SlowPeer> slowPeers() {
+        return List.of();
+    }
+
     /** What the program looks like at this moment, for whoever watches it. */
     Driver driver();
 
--- a/src/main/java/damsonslip/faktory/Faktory.java
+++ b/src/main/java/damsonslip/faktory/Faktory.java
@@ -8,6 +8,7 @@
 import damsonslip.core.Loop;
 import damsonslip.core.Phase;
 import damsonslip.core.Phase.State;
+import damsonslip.core.SlowPeer;
 import damsonslip.faktory.codec.Command;
 import damsonslip.faktory.codec.Reply;
 import damsonslip.faktory.sets.Fate;
@@ -305,6 +306,11 @@
         return config.peers();
     }
 
+    @Override
+    public List<SlowPeer> slowPeers() {
+        return SlowPeer.slowest(links.all().stream().flatMap(link -> link.shown(loop.now())));
+    }
+
     private void judge() {
         long now = loop.now();
         List.copyOf(links.all()).forEach(link -> link.judge(now));
--- a/src/main/java/damsonslip/faktory/FaktoryLink.java
+++ b/src/main/java/damsonslip/faktory/FaktoryLink.java
@@ -1,6 +1,7 @@
 package damsonslip.faktory;
 
 import damsonslip.core.Counters.Count;
+import damsonslip.core.SlowPeer;
 import damsonslip.faktory.codec.Command;
 import damsonslip.faktory.codec.Malformed;
 import damsonslip.faktory.codec.Reply;
@@ -10,6 +11,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.List;
+import java.util.stream.Stream;
 import org.eclipse.jetty.io.EndPoint;
 
 /**
@@ -106,6 +108,15 @@
         }
     }
 
+    /** What is due from it; empty if nothing is. */
+    Stream<SlowPeer> shown(long nowUs) {
+        Stream<SlowPeer> reading = Stream.of(new SlowPeer("reads replies", peer(), backlog(), reads.rate(nowUs),
+            reads.leftUs(nowUs)));
+        Stream<SlowPeer> sending = Stream.of(new SlowPeer("sends a command", peer(), begun, sends.rate(nowUs),
+            sends.leftUs(nowUs)));
+        return Stream.concat(reading, sending).filter(peer -> peer.leftUs() < Long.MAX_VALUE);
+    }
+
     /** Lets the peer go if it keeps up no longer. Guards the room and the memory that it would hold for ever. */
     void judge(long nowUs) {
         if (isClosed() || isParting()) {
--- a/src/main/java/damsonslip/net/Link.java
+++ b/src/main/java/damsonslip/net/Link.java
@@ -114,6 +114,11 @@
         writeNext();
     }
 
+    /** Where it comes from, or leads to. */
+    protected final String peer() {
+        return String.valueOf(getEndPoint().getRemoteSocketAddress());
+    }
+
     /** Bytes that the system has not taken yet. */
     protected final long backlog() {
         return (writing ? BufferUtil.remaining(current) : 0)
--- a/src/main/java/damsonslip/net/Outflow.java
+++ b/src/main/java/damsonslip/net/Outflow.java
@@ -1,6 +1,7 @@
 package damsonslip.net;
 
 import damsonslip.core.Loop;
+import damsonslip.core.SlowPeer;
 import damsonslip.pace.Budget;
 import damsonslip.pace.Pace;
 import java.util.function.LongSupplier;
@@ -52,6 +53,11 @@
         return new Budget.Holding<>(link, backlog.getAsLong(), pace.rate(loop.now()));
     }
 
+    /** The same for people to read. */
+    public SlowPeer shown(String what, String peer) {
+        return new SlowPeer(what, peer, backlog.getAsLong(), pace.rate(loop.now()), pace.leftUs(loop.now()));
+    }
+
     private void look() {
         long left = backlog.getAsLong();
         pace.moved(loop.now(), Math.max(0, seen - left));
--- a/src/main/java/damsonslip/pace/Pace.java
+++ b/src/main/java/damsonslip/pace/Pace.java
@@ -83,6 +83,11 @@
         return !running ? 0 : moved * 1e6 / Math.max(1, nowUs - sinceUs);
     }
 
+    /** How long the peer may still do nothing, in microseconds; without end if nothing is due. */
+    public long leftUs(long nowUs) {
+        return running ? Math.max(0, leftUs - Math.max(0, nowUs - atUs)) : Long.MAX_VALUE;
+    }
+
     /** A clock that steps back costs nothing. */
     private void spend(long nowUs) {
         leftUs -= Math.max(0, nowUs - atUs);
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -8,6 +8,7 @@
 import damsonslip.core.Loop;
 import damsonslip.core.Phase;
 import damsonslip.core.Phase.State;
+import damsonslip.core.SlowPeer;
 import damsonslip.handover.Folder;
 import damsonslip.handover.Handover;
 import damsonslip.kin.Kin;
@@ -25,9 +26,11 @@
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -249,6 +252,11 @@
         return config.site().classNames().get(jobClass);
     }
 
+    @Override
+    public List<SlowPeer> slowPeers() {
+        return SlowPeer.slowest(Stream.concat(clients.slowPeers(), servers.slowPeers()));
+    }
+
     @Override
     public Driver driver() {
         return driver;
--- a/src/main/java/damsonslip/platform/clients/ClientLink.java
+++ b/src/main/java/damsonslip/platform/clients/ClientLink.java
@@ -4,6 +4,7 @@
 import damsonslip.core.Asker;
 import damsonslip.core.Exchange;
 import damsonslip.core.Loop;
+import damsonslip.core.SlowPeer;
 import damsonslip.net.Link;
 import damsonslip.net.Outflow;
 import damsonslip.pace.Pace;
@@ -179,6 +180,10 @@
         }
     }
 
+    SlowPeer shown() {
+        return reading.shown("reads an answer", peer());
+    }
+
     Outflow reading() {
         return reading;
     }
--- a/src/main/java/damsonslip/platform/clients/ClientSide.java
+++ b/src/main/java/damsonslip/platform/clients/ClientSide.java
@@ -8,6 +8,7 @@
 import damsonslip.core.Phase;
 import damsonslip.core.Phase.State;
 import damsonslip.core.Query;
+import damsonslip.core.SlowPeer;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
 import damsonslip.net.Outflow;
@@ -21,6 +22,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 import org.eclipse.jetty.io.EndPoint;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -172,6 +174,11 @@
         }
     }
 
+    /** Clients that have yet to read their answers. */
+    public Stream<SlowPeer> slowPeers() {
+        return room.all().stream().filter(link -> link.reading().waits()).map(ClientLink::shown);
+    }
+
     void readsNothing() {
         counters.add(Count.SLOW_READERS_LET_GO);
         LOG.warn("a client reads nothing of its answer and is let go");
--- a/src/main/java/damsonslip/platform/servers/ServerLink.java
+++ b/src/main/java/damsonslip/platform/servers/ServerLink.java
@@ -3,6 +3,7 @@
 import damsonslip.Dispatch.Outcome;
 import damsonslip.Dispatch.Report;
 import damsonslip.core.Execution;
+import damsonslip.core.SlowPeer;
 import damsonslip.net.Lines;
 import damsonslip.net.Link;
 import damsonslip.net.Outflow;
@@ -119,6 +120,11 @@
      * A request that the worker takes too slowly is given up while its last byte is still here: it provably never ran,
      * and may go elsewhere whatever its class.
      */
+    /** How it takes the request that is being written to it; null if none is. */
+    SlowPeer shown() {
+        return taking.waits() ? taking.shown("takes a request", worker) : null;
+    }
+
     private void standsStill() {
         side.standsStill(worker);
         end();
--- a/src/main/java/damsonslip/platform/servers/ServerSide.java
+++ b/src/main/java/damsonslip/platform/servers/ServerSide.java
@@ -9,6 +9,7 @@
 import damsonslip.core.Driver;
 import damsonslip.core.Execution;
 import damsonslip.core.Loop;
+import damsonslip.core.SlowPeer;
 import damsonslip.core.WorkerSide;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
@@ -20,8 +21,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.eclipse.jetty.io.EndPoint;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -249,6 +252,11 @@
         links.loop().in(SWEEP_US, this::sweep);
     }
 
+    /** Workers that have yet to take a request. */
+    public Stream<SlowPeer> slowPeers() {
+        return open.stream().map(ServerLink::shown).filter(Objects::nonNull);
+    }
+
     void standsStill(String worker) {
         counters.add(Count.UPLOADS_GIVEN_UP);
         LOG.warn("worker {} takes a request too slowly; it is given up before its last byte", worker);
--- a/src/test/java/damsonslip/console/ConsoleTest.java
+++ b/src/test/java/damsonslip/console/ConsoleTest.java
@@ -53,6 +53,10 @@
             assertTrue(ask("queues").matches("(?s).*apply-submit +1 +0 +[0-9]+.*"), ask("queues"));
             assertTrue(ask("counters").matches("(?s).*queries_taken +1\n.*"), ask("counters"));
             assertTrue(ask("waits").matches("(?s)tasks .*\n[0-9]+ +[0-9.]+ +[0-9.]+ +[0-9.]+ +[0-9.]+\n"), ask("waits"));
+            try (Peer slow = Peer.connect(port).send("HELLO {\"v\":2,")) {
+                assertTrue(ask("slow").matches("(?s)peer .*127.0.0.1:[0-9]+ +sends a command +[0-9]+ +[0-9]+ +[0-9.]+\n"),
+                    ask("slow"));
+            }
             assertEquals("serving\n", ask("phase"));
             assertEquals("YES serving", call("READY"));
             assertEquals("router.success.status-read:0|c", call("STATS"), "the same figures as the console's");
--- a/src/test/java/damsonslip/kit/Program.java
+++ b/src/test/java/damsonslip/kit/Program.java
@@ -10,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
@@ -27,6 +28,11 @@
 
     /** The same with more words for the JVM. */
     public Program(Path config, List<String> more, String... args) throws IOException {
+        this(config, Map.of(), more, args);
+    }
+
+    /** The same with more in its environment. */
+    public Program(Path config, Map<String, String> environment, List<String> more, String... args) throws IOException {
         this.config = config;
         List<String> command = new ArrayList<>(List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
@@ -40,6 +46,7 @@
             builder.environment().put("ROUTER_CONFIG", config.toString());
             builder.environment().put("TMPDIR", config.getParent().toString());
         }
+        builder.environment().putAll(environment);
         process = builder.start();
         reader = new Thread(this::read, "program's words");
         reader.start();
--- a/src/test/java/damsonslip/pace/PaceTest.java
+++ b/src/test/java/damsonslip/pace/PaceTest.java
@@ -31,6 +31,15 @@
         assertEquals(2, letGo(0, S), 0.02);
     }
 
+    @Test
+    void howLongItMayGoOnIsTold() {
+        assertEquals(Long.MAX_VALUE, pace.leftUs(0), "nothing is due");
+        pace.begin(0);
+        assertEquals(2 * S, pace.leftUs(0));
+        assertEquals(S / 2, pace.leftUs(3 * S / 2));
+        assertEquals(0, pace.leftUs(3 * S));
+    }
+
     @Test
     void aByteAtATimeDefeatsNothing() {
         assertEquals(2, letGo(1, S / 10), 0.05);
--- a/src/test/java/damsonslip/platform/SlowPeersTest.java
+++ b/src/test/java/damsonslip/platform/SlowPeersTest.java
@@ -12,8 +12,10 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /** Peers that read slowly, or not at all. */
@@ -81,6 +83,43 @@
         assertFalse(program.said().contains("OutOfMemory"), program.said());
     }
 
+    /** Who is slow, at what, and how long it may go on: a client and a worker. */
+    @Test
+    void theConsoleShowsTheSlowest() throws Exception {
+        int console = Program.freePort();
+        try (ServerSocket still = new ServerSocket()) {
+            still.setReceiveBufferSize(SMALL);
+            still.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+            Path file = config(list(7, true, worker("a", LARGE), entry("b", still.getLocalPort(), "ready")));
+            program = new Program(file, Map.of("DAMSONSLIP_CONSOLE", "127.0.0.1:" + console), List.of(), "serve")
+                .awaitWord("listens on");
+            try (Socket silent = asking("q1")) {
+                Program.await("the client is shown", () -> slow(console).matches("(?s)peer .*127.0.0.1:"
+                    + silent.getLocalPort() + " +reads an answer +[1-9][0-9]+ +[0-9]+ +[0-9.]+\n.*"));
+                Program.await("the worker is shown", () -> {
+                    try (Peer client = Peer.connect(port).send(large("u" + System.nanoTime()))) {
+                        Thread.sleep(100);
+                        return slow(console).matches("(?s).*\nb +takes a request +[1-9][0-9]+ +[0-9]+ +0\\.[0-9]\n.*");
+                    } catch (IOException | InterruptedException e) {
+                        throw new AssertionError(e);
+                    }
+                });
+            }
+        }
+    }
+
+    private static String slow(int console) {
+        try (Peer peer = Peer.connect(console).send("slow\n")) {
+            StringBuilder told = new StringBuilder();
+            for (String line = peer.line(); line != null && !line.equals("."); line = peer.line()) {
+                told.append(line).append('\n');
+            }
+            return told.toString();
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
     /** What a kept connection wrote last must not stay with it: that was 16 KB a link. */
     @Test
     void keptConnectionsDoNotFillTheHeap() throws Exception {
