--- a/src/test/java/damsonslip/platform/DailyRunningTest.java
+++ b/src/test/java/damsonslip/platform/DailyRunningTest.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -172,6 +173,29 @@
         assertEquals(1, jobs("b"));
     }
 
+    /** A new configuration moves discovery, whose whole list names the worker as ready: it stays out. */
+    @Test
+    void aBanOutlivesAReload() throws Exception {
+        String a = worker("a", SERVE);
+        String b = worker("b", SERVE);
+        startWithMgmt(a, b);
+        assertTrue(call("DISABLE a").startsWith("YES"));
+        List<String> novelWatches = new CopyOnWriteArrayList<>();
+        discovery = discovery(List.of(list(9, true, a, b)), novelWatches);
+        program.reload(Files.readString(config(list(7, true, a, b), mgmt(mgmt))));
+        Program.await("a watch at the new address", () -> novelWatches.size() == 1);
+        Thread.sleep(200); // its list has come
+        for (int i = 0; i < 12; i++) {
+            assertEquals(200, ask(query("q" + i, "read", "2000m")).status());
+        }
+        assertEquals(0, jobs("a"));
+        assertEquals("1|g", figures().get("targets_disabled"));
+        assertTrue(call("ENABLE a").startsWith("YES"));
+        call("DISABLE b");
+        assertEquals(200, ask(query("last", "read", "2000m")).status(), "and the new list holds it");
+        assertEquals(1, jobs("a"));
+    }
+
     /** The link to a worker comes up only after it was taken out: what it was opened for goes elsewhere, unsent. */
     @Test
     void aBanThatMeetsALinkBeingOpenedHoldsForIt() throws Exception {
