--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -144,7 +144,8 @@
         }
     }
 
-    static final class Job {
+    /** A job; the one that came first is the least. */
+    static final class Job implements Comparable<Job> {
         final JobArrived ask;
         final long arrived;
         final long order;
@@ -161,6 +162,11 @@
             this.arrived = arrived;
             this.order = order;
         }
+
+        @Override
+        public int compareTo(Job other) {
+            return Long.compare(order, other.order);
+        }
     }
 
     static final class Attempt {
@@ -242,7 +248,7 @@
     /** A job class: its rates, its pool, its threshold and its hold. */
     static final class Pool {
         final JobClass of;
-        final PriorityQueue<Job> hold = new PriorityQueue<>((a, b) -> Long.compare(a.order, b.order));
+        final PriorityQueue<Job> hold = new PriorityQueue<>();
         int arrivals;
         double rate;
         double steady;
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -441,9 +441,8 @@
     }
 
     /** The first by id of the zone that the pool has least of: each dispatcher finds some of it nearby. */
-    private static Worker next(List<Worker> rest, List<Worker> pool) {
-        return rest.stream().min(Comparator.comparingLong(
-            w -> pool.stream().filter(member -> member.zone == w.zone).count())).orElseThrow();
+    private static Worker next(List<Worker> rest, int[] zones) {
+        return Collections.min(rest, (one, other) -> zones[one.zone] - zones[other.zone]);
     }
 
     /** n = floor(N rho / sum rho + 0.5) in sorted id order, the last class the rest, one worker at least. */
@@ -460,8 +459,11 @@
             if (n == 0 && !sorted.isEmpty() && members.get(i).isEmpty()) {
                 members.get(i).add(sorted.get(sorted.size() - 1)); // fewer workers than classes
             }
+            int[] zones = new int[settings.zones()];
+            members.get(i).forEach(w -> zones[w.zone]++);
             for (int taken = 0; taken < n; taken++) {
-                Worker w = next(rest, members.get(i));
+                Worker w = next(rest, zones);
+                zones[w.zone]++;
                 rest.remove(w);
                 members.get(i).add(w);
                 w.pool = pools[i];
--- a/src/main/java/damsonslip/mgmt/Mgmt.java
+++ b/src/main/java/damsonslip/mgmt/Mgmt.java
@@ -9,7 +9,6 @@
 import damsonslip.settings.BadInput;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.Comparator;
 import org.eclipse.jetty.io.EndPoint;
 
 /** Listens where the operators' tools call, on a selector of its own, beside whatever the clients do. */
@@ -24,8 +23,7 @@
     private static final long CONNECT_MS = 1_000;
 
     private final Loop loop;
-    private final Room<MgmtLink> room = new Room<>(MOST_LINKS, OVERFLOW, link -> true,
-        Comparator.comparing((MgmtLink link) -> !link.isParting()).thenComparingLong(link -> link.openedUs));
+    private final Room<MgmtLink> room = new Room<>(MOST_LINKS, OVERFLOW, link -> true, MgmtLink::compareMissed);
     private Operations operations;
 
     public Mgmt(Loop loop) {
--- a/src/main/java/damsonslip/mgmt/MgmtLink.java
+++ b/src/main/java/damsonslip/mgmt/MgmtLink.java
@@ -66,4 +66,10 @@
         }
         mgmt.closed(this);
     }
+
+    /** The order in which they go when there is no room: who is leaving anyway, then the oldest. */
+    static int compareMissed(MgmtLink one, MgmtLink other) {
+        int leaves = Boolean.compare(other.isParting(), one.isParting());
+        return leaves != 0 ? leaves : Long.compare(one.openedUs, other.openedUs);
+    }
 }
--- a/src/main/java/damsonslip/net/Links.java
+++ b/src/main/java/damsonslip/net/Links.java
@@ -12,12 +12,12 @@
 import java.nio.channels.SocketChannel;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SelectorManager;
 import org.eclipse.jetty.io.SocketChannelEndPoint;
-import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -34,6 +34,12 @@
     /** The same for peers that connect to us, whose links are longer: 0.6 MB/s at 0.1 s, and any usual answer whole. */
     private static final int ANSWER_BUFFER = 64 * 1024;
 
+    /**
+     * A selector, what it hands over, and two to spare while either waits. The JDK's pool, since Jetty's own makes code for
+     * its threads' names and looks for a security manager: a tenth of a start's CPU.
+     */
+    private static final int MOST_THREADS = 4;
+
     private final Loop loop;
     private final Map<SocketAddress, Accepting> accepting = new ConcurrentHashMap<>();
     /** Accepted, and not yet set up. */
@@ -56,20 +62,15 @@
         void turnedBack();
     }
 
-    private Links(Loop loop, QueuedThreadPool threads) {
-        super(threads, new ScheduledExecutorScheduler(loop.executor()), 1);
+    private Links(Loop loop) {
+        super(Executors.newFixedThreadPool(MOST_THREADS, Links::thread), new ScheduledExecutorScheduler(loop.executor()), 1);
         this.loop = loop;
     }
 
     /** Starts the selector. */
     public static Links start(Loop loop, long connectTimeoutMs) {
-        QueuedThreadPool threads = new QueuedThreadPool(4, 2);
-        threads.setName("net");
-        threads.setDaemon(true);
-        threads.setReservedThreads(0);
-        Links links = new Links(loop, threads);
+        Links links = new Links(loop);
         links.setConnectTimeout(connectTimeoutMs);
-        links.addBean(threads);
         try {
             links.start();
         } catch (Exception e) { // Jetty declares no narrower type
@@ -78,6 +79,12 @@
         return links;
     }
 
+    private static Thread thread(Runnable task) {
+        Thread thread = new Thread(task, "net");
+        thread.setDaemon(true);
+        return thread;
+    }
+
     public Loop loop() {
         return loop;
     }
--- a/src/main/java/damsonslip/platform/clients/ClientLink.java
+++ b/src/main/java/damsonslip/platform/clients/ClientLink.java
@@ -244,10 +244,16 @@
     }
 
     /** How much it would be missed: usual clients send at once, get their results, and come back. */
-    int worth() {
+    private int worth() {
         return isParting() ? 0 : whole == 0 ? 1 : served == 0 ? 2 : 3;
     }
 
+    /** The order in which they go when there is no room. */
+    static int compareMissed(ClientLink one, ClientLink other) {
+        int worth = Integer.compare(one.worth(), other.worth());
+        return worth != 0 ? worth : Long.compare(one.idleSinceUs, other.idleSinceUs);
+    }
+
     @Override
     protected void lost() {
         if (exchange != null) {
--- a/src/main/java/damsonslip/platform/clients/ClientSide.java
+++ b/src/main/java/damsonslip/platform/clients/ClientSide.java
@@ -18,7 +18,6 @@
 import damsonslip.settings.Site;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -64,8 +63,7 @@
         this.driver = driver;
         this.phase = phase;
         this.counters = counters;
-        this.room = new Room<>(mostLinks, overflow, ClientLink::mayGo, Comparator.comparingInt(ClientLink::worth)
-            .thenComparingLong(link -> link.idleSinceUs));
+        this.room = new Room<>(mostLinks, overflow, ClientLink::mayGo, ClientLink::compareMissed);
     }
 
     /** Accepts connections from now on, beside another process where the address is shared. */
--- a/src/main/java/damsonslip/program/Rehearsal.java
+++ b/src/main/java/damsonslip/program/Rehearsal.java
@@ -1,22 +1,19 @@
 package damsonslip.program;
 
-import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import damsonslip.core.Counters;
-import damsonslip.core.Loop;
-import damsonslip.core.Phase;
-import damsonslip.core.Phase.State;
-import damsonslip.platform.Platform;
 import damsonslip.settings.BadInput;
-import damsonslip.settings.NodeConfig;
-import damsonslip.settings.Site;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
+import sun.misc.Signal;
 
 /**
  * Serves a few queries to itself, on loopback, and ends: the build runs it so that the JVM can archive the classes that
@@ -27,14 +24,14 @@
     private static final String LOOPBACK = "127.0.0.1";
     private static final int QUERIES = 3;
     private static final int PATIENCE_MS = 3_000;
-    private static final long LONGEST_MS = 10_000;
-    private static final String SETTINGS = """
-        {"instances":1,"azs":["z"],"shapes":["k"],"lanes":[{"name":"any","aim_s":1,"hard_limit_s":2,
+    private static final String CONFIG = """
+        {"name":"rehearsal","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","mgmt":"127.0.0.1:%d","seed":"1",
+        "limits":{"sockets":256},
+        "settings":{"instances":1,"azs":["z"],"shapes":["k"],"lanes":[{"name":"any","aim_s":1,"hard_limit_s":2,
         "semantics":"repeatable","value":1}],"limits":{"send_cap":2,"may_cancel":true},"registry_mode":"on_request",
-        "reporting":{"how":"piggyback"},"specifics":{"tells_start":true}}""";
-    private static final String KNOWN = """
-        {"generation":1,"reset":true,"instances":[{"instanceId":"w","hostPort":"127.0.0.1:%d","zone":"z",
-        "machineType":"k","cell":0,"lifecycle":"ready","weight":1.0,"startedAtMs":0}]}""";
+        "reporting":{"how":"piggyback"},"specifics":{"tells_start":true}},
+        "known":{"generation":1,"reset":true,"instances":[{"instanceId":"w","hostPort":"127.0.0.1:%d","zone":"z",
+        "machineType":"k","cell":0,"lifecycle":"ready","weight":1.0,"startedAtMs":0}]}}""";
 
     private static final String QUERY = """
         POST /api HTTP/1.1
@@ -49,10 +46,9 @@
 
     private Rehearsal() { }
 
+    /** Starts as a scheduler does, with a second address, and is used; the exit that follows is its stop. */
     static void run() throws BadInput, IOException {
-        HangUp.caught();
-        Loop loop = new Loop();
-        Phase phase = new Phase();
+        Path folder = Files.createTempDirectory("rehearsal");
         try (ServerSocket worker = socket(); ServerSocket discovery = socket()) {
             serve(worker, """
                 {"id":"%1$s","state":"started"}
@@ -60,13 +56,10 @@
                 """);
             serve(discovery, "%2$s");
             int port = freePort();
-            JsonNode known = new ObjectMapper().readTree(KNOWN.formatted(worker.getLocalPort()));
-            NodeConfig config = new NodeConfig("rehearsal", LOOPBACK + ":" + port,
-                LOOPBACK + ":" + discovery.getLocalPort(), 1, 256, known,
-                Site.read(new ObjectMapper().readTree(SETTINGS)), "");
-            Platform platform = new Platform(loop, phase, new Counters(), config, Map.of());
-            platform.start();
-            phase.await(State.SERVING, LONGEST_MS);
+            int second = freePort();
+            Path config = Files.writeString(folder.resolve("config.json"), CONFIG.formatted(port, discovery.getLocalPort(),
+                second, worker.getLocalPort()));
+            Serve.start(null, Map.of("ROUTER_CONFIG", config.toString(), "TMPDIR", folder.toString()));
             for (int i = 0; i < QUERIES; i++) {
                 String answer = ask(port, QUERY.formatted(i).replace("\n", "\r\n"));
                 if (!answer.startsWith("HTTP/1.1 200")) {
@@ -74,13 +67,14 @@
                 }
             }
             ask(port, "nonsense\r\n\r\n");
-            platform.reload();
-            platform.leave();
-            phase.await(State.ENDED, LONGEST_MS);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            Signal.raise(new Signal("HUP"));
+            for (String call : List.of("READY", "STATS", "nonsense")) {
+                ask(second, call + "\n");
+            }
         } finally {
-            loop.stop();
+            try (Stream<Path> files = Files.walk(folder)) {
+                files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().deleteOnExit());
+            }
         }
     }
 
--- a/src/test/java/damsonslip/LargeFleetTest.java
+++ b/src/test/java/damsonslip/LargeFleetTest.java
@@ -14,6 +14,7 @@
 import damsonslip.Dispatch.ListMode;
 import damsonslip.Dispatch.ListUpdate;
 import damsonslip.Dispatch.Outcome;
+import damsonslip.Dispatch.PoolState;
 import damsonslip.Dispatch.Report;
 import damsonslip.Dispatch.Send;
 import damsonslip.Dispatch.SetTimer;
@@ -25,6 +26,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -185,6 +187,18 @@
         return script.rules.workers(script.now).stream().mapToDouble(WorkerState::free).average().orElseThrow();
     }
 
+    /** The first deal comes before the first query is served, on code that is not compiled yet. */
+    @Test
+    void dealingManyWorkersTakesLittleTime() {
+        Script script = new Script(settings(100, 0, SAFE, SAFE));
+        long before = System.nanoTime();
+        script.list(ListMode.KEPT, IntStream.range(0, 3_000)
+            .mapToObj(i -> worker("w" + i, i % 2, 0, Status.RUNNING, Long.MIN_VALUE)).toArray(Dispatch.Worker[]::new));
+        long tookMs = (System.nanoTime() - before) / 1_000_000;
+        assertTrue(tookMs < 5_000, "3,000 workers took " + tookMs + " ms");
+        assertEquals(3_000, script.rules.pools().stream().mapToInt(PoolState::workers).sum());
+    }
+
     /** Workers of one release are all cold together: a dispatcher shall not have its turn at all or none of them. */
     @Test
     void turnsAtColdWorkersDoNotFallTogether() {
--- a/src/test/java/damsonslip/program/RehearsalTest.java
+++ b/src/test/java/damsonslip/program/RehearsalTest.java
@@ -13,6 +13,8 @@
         try (Program program = new Program(null, "rehearse")) {
             assertEquals(0, program.exit(), program.said());
             assertTrue(program.said().contains("rehearsal listens on"), program.said());
+            assertTrue(program.said().contains("reload: discovery is at"), "what a signal needs is archived as well");
+            assertTrue(program.said().contains("counters queries_taken=3 "), "and so is a stop: " + program.said());
         }
     }
 }
