Test an undrain while connections are being closed, and a further drain after it

The first kept connections have been closed when UNDRAIN comes: one with a query under way and one that has said nothing stay, are used 0.8 s later, and go 0.5 s after a second DRAIN, not by the rule of the first.

--- a/src/test/java/damsonslip/platform/DailyRunningTest.java
+++ b/src/test/java/damsonslip/platform/DailyRunningTest.java
@@ -1,6 +1,7 @@
 package damsonslip.platform;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import damsonslip.kit.Peer;
@@ -311,6 +312,35 @@
         }
     }
 
+    /** The ones that are left stay from then on, with what they asked for; and a further drain counts from its own call. */
+    @Test
+    void anUndrainWhileConnectionsAreBeingClosedKeepsTheRest() throws Exception {
+        startWithMgmt(worker("a", SLOW));
+        List<Peer> idle = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            Peer each = Peer.connect(port).send(HEALTH);
+            assertEquals(200, each.message().status());
+            idle.add(each);
+        }
+        assertTrue(call("DRAIN").startsWith("YES"));
+        assertTrue(idle.get(0).closed(), "closing has begun");
+        try (Peer late = Peer.connect(port); Peer busy = Peer.connect(port).send(query("q1", "read", "4000m"))) {
+            Program.await("it is sent", () -> jobs("a") == 1);
+            assertTrue(call("UNDRAIN").startsWith("YES"));
+            assertTrue(call("READY").startsWith("YES"));
+            Message answer = busy.message();
+            assertEquals(200, answer.status());
+            assertNull(answer.field("Connection"), "it may stay");
+            Thread.sleep(800); // an idle one would have been closed after 0.3 s, and all of them 1.6 s after the first call
+            assertEquals(200, late.send(query("q2", "read", "4000m")).message().status());
+            assertEquals(200, busy.send(HEALTH).message().status());
+            long again = System.nanoTime();
+            assertTrue(call("DRAIN").startsWith("YES"));
+            assertTrue(busy.closed() && late.closed());
+            assertTrue(System.nanoTime() - again > TimeUnit.MILLISECONDS.toNanos(450), "it settles anew");
+        }
+    }
+
     @Test
     void aStopWhileDrainedAnswersEverything() throws Exception {
         startWithMgmt(worker("a", SLOW));
