Run an upgrade under load with half of 144 MB for each process

The test of an upgrade under load is played once more with run's words on memory and a limit of 72 MB of its own memory for each process (ulimit -d): nobody is turned back. What such a limit leaves out is what the system keeps for both, the mapped files; no machine of 144 MB is to be had here.

--- a/src/test/java/damsonslip/kit/Program.java
+++ b/src/test/java/damsonslip/kit/Program.java
@@ -33,6 +33,12 @@
 
     /** The same with more in its environment. */
     public Program(Path config, Map<String, String> environment, List<String> more, String... args) throws IOException {
+        this(config, environment, more, 0, args);
+    }
+
+    /** The same where the system gives it so many KB of memory of its own at the most; 0: no limit. */
+    public Program(Path config, Map<String, String> environment, List<String> more, int mostKb, String... args)
+        throws IOException {
         this.config = config;
         List<String> command = new ArrayList<>(List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
@@ -41,6 +47,9 @@
             "damsonslip.program.Main"));
         command.addAll(1, more);
         command.addAll(List.of(args));
+        if (mostKb > 0) {
+            command.addAll(0, List.of("sh", "-c", "ulimit -d " + mostKb + "; exec \"$@\"", "sh"));
+        }
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         if (config != null) {
             builder.environment().put("ROUTER_CONFIG", config.toString());
--- a/src/test/java/damsonslip/platform/UpgradeTest.java
+++ b/src/test/java/damsonslip/platform/UpgradeTest.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
@@ -29,7 +30,12 @@
     }
 
     private Program start(int mgmt, String... entries) throws IOException {
-        Program started = new Program(config(list(7, true, entries), mgmt(mgmt)), "serve");
+        return start(mgmt, List.of(), 0, entries);
+    }
+
+    private Program start(int mgmt, List<String> words, int mostKb, String... entries) throws IOException {
+        Program started =
+            new Program(config(list(7, true, entries), mgmt(mgmt)), Map.of(), words, mostKb, "serve");
         programs.add(started);
         Program.await("it is ready, but: " + started.said(), () -> call(mgmt, "READY").startsWith("YES"));
         return started;
@@ -68,19 +74,32 @@
 
     @Test
     void anUpgradeUnderLoadTurnsNobodyBack() throws Exception {
+        upgradeUnderLoad(List.of(), 0);
+    }
+
+    /** The smallest machine has 144 MB; each process gets half of it, and the limits on memory that `run` sets. */
+    @Test
+    void anUpgradeUnderLoadFitsOnTheSmallestMachine() throws Exception {
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+            .filter(line -> line.startsWith("run = ")).findFirst().orElseThrow();
+        upgradeUnderLoad(List.of(run.split("[ \"]")).stream().filter(word -> word.matches("-X(m|ss|X:Res|X:MaxM).*"))
+            .toList(), 72 * 1024);
+    }
+
+    private void upgradeUnderLoad(List<String> words, int mostKb) throws Exception {
         Work quick = (peer, job) -> {
             Thread.sleep(20);
             SERVE.on(peer, job);
         };
         String[] workers = {worker("a", quick), worker("b", quick), worker("c", quick), worker("d", quick)};
-        Program old = start(first, workers);
+        Program old = start(first, words, mostKb, workers);
         List<String> wrong = new java.util.concurrent.CopyOnWriteArrayList<>();
         AtomicInteger served = new AtomicInteger();
         boolean[] over = new boolean[1];
         List<Thread> clients = List.of(load(wrong, served, false, "new-", over), load(wrong, served, false, "more-", over),
             load(wrong, served, true, "kept-", over), load(wrong, served, true, "held-", over));
         Thread.sleep(500);
-        Program next = start(second, workers);
+        Program next = start(second, words, mostKb, workers);
         assertTrue(call(first, "READY").startsWith("YES"), "the old one serves until it is told to end");
         old.terminate();
         assertEquals(143, old.exit(4));
