Stop reading from a peer for which much waits; let go of slow consoles and trickling lists

Seen by reading: a console that sent 8 KB of commands ahead had all of them answered into memory (ControlLink.received), and nothing ever let it go; a caller of the second address that read nothing held its place until others came; a watch on discovery lived on as long as a byte came every 3.5 s. Built: Link reads nothing while more than 256 KB wait for its peer, and goes on below 64 KB; the console answers the next line once the last answer was taken, and its readers have the platform clients' pace; MgmtLink.finish ends after its time; Discovery's head and lines have a pace of 4 KB/s after 3.5 s. Rejected: marks in settings, since no bound of the protocol leads to another figure.

--- a/src/main/java/damsonslip/console/Control.java
+++ b/src/main/java/damsonslip/console/Control.java
@@ -3,6 +3,7 @@
 import damsonslip.Dispatch.PoolState;
 import damsonslip.Dispatch.WorkerState;
 import damsonslip.core.Counters;
+import damsonslip.core.Counters.Count;
 import damsonslip.core.Front;
 import damsonslip.core.Loop;
 import damsonslip.core.SlowPeer;
@@ -14,13 +15,20 @@
 import damsonslip.operations.Operations;
 import damsonslip.settings.BadInput;
 import java.io.IOException;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Objects;
+import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
 import org.eclipse.jetty.io.EndPoint;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** What an operator's console may ask of a running scheduler; it listens only where it is told to. */
 public final class Control implements Links.Accepting {
+    private static final Logger LOG = LoggerFactory.getLogger(Control.class);
     private static final int MOST_LINKS = 8;
     private static final long CONNECT_MS = 1_000;
 
@@ -29,6 +37,7 @@
     private final Front front;
     private final Operations operations;
     private final AtomicInteger open = new AtomicInteger();
+    private final Set<ControlLink> links = new LinkedHashSet<>();
 
     public Control(Loop loop, Counters counters, Front front, Operations operations) {
         this.loop = loop;
@@ -60,10 +69,20 @@
         return new ControlLink(endPoint, this);
     }
 
-    void closed() {
+    void opened(ControlLink link) {
+        links.add(link);
+    }
+
+    void closed(ControlLink link) {
+        links.remove(link);
         open.decrementAndGet();
     }
 
+    void readsNothing() {
+        counters.add(Count.SLOW_READERS_LET_GO);
+        LOG.warn("a console reads nothing of its answer and is let go");
+    }
+
     Loop loop() {
         return loop;
     }
@@ -133,7 +152,8 @@
 
     private String slow() {
         StringBuilder text = row("%-22s %-16s %9s %9s %6s", "peer", "what it does", "bytes", "bytes/s", "left s");
-        for (SlowPeer slow : front.slowPeers()) {
+        Stream<SlowPeer> consoles = links.stream().map(ControlLink::shown).filter(Objects::nonNull);
+        for (SlowPeer slow : SlowPeer.slowest(Stream.concat(front.slowPeers().stream(), consoles))) {
             text.append(row("%-22s %-16s %9d %9.0f %6.1f", slow.peer(), slow.what(), slow.waiting(), slow.rate(),
                 slow.leftUs() / 1e6));
         }
--- a/src/main/java/damsonslip/mgmt/MgmtLink.java
+++ b/src/main/java/damsonslip/mgmt/MgmtLink.java
@@ -52,10 +52,10 @@
             answered = true;
             write(() -> { }, reply);
             endWhenWritten();
+            mgmt.loop().in(WHOLE_US, this::end); // who does not read it has had as long as for the call
         }
     }
 
-
     @Override
     protected void lost() { }
 
--- a/src/main/java/damsonslip/net/Link.java
+++ b/src/main/java/damsonslip/net/Link.java
@@ -24,6 +24,13 @@
     /** So much of what still comes after the last answer is read and dropped; the rest stays with the system. */
     private static final int MOST_DROPPED = 128 * 1024;
 
+    /**
+     * While more than this waits to be written to a peer, nothing is read from it: what it asks for further would wait as
+     * well. As large as the largest usual answer, so that one alone stops nobody; reading goes on once a quarter is left.
+     */
+    private static final int HIGH = 256 * 1024;
+    private static final int LOW = HIGH / 4;
+
     private static final ByteBuffer[] NOTHING = {};
 
     private record Out(ByteBuffer[] bytes, Runnable written) { }
@@ -32,6 +39,8 @@
     private final ByteBuffer in = BufferUtil.allocate(IN_BUFFER);
     private final ArrayDeque<Out> out = new ArrayDeque<>();
     private boolean writing;
+    /** What waits has passed the high mark, and not yet fallen below the low one. */
+    private boolean full;
     /** What is being written; its buffers show what the system has not taken yet. */
     private ByteBuffer[] current = NOTHING;
     private boolean closed;
@@ -112,6 +121,7 @@
         }
         out.add(new Out(bytes, written));
         writeNext();
+        full = full || backlog() > HIGH;
     }
 
     /** Where it comes from, or leads to. */
@@ -163,8 +173,13 @@
                 writing = false;
                 current = NOTHING; // a link that is kept would keep its last message's room as well
                 if (!closed) {
+                    boolean resumed = full && backlog() <= LOW;
+                    full = full && !resumed;
                     then.run();
                     writeNext();
+                    if (resumed) {
+                        again();
+                    }
                 }
             });
         }
@@ -223,7 +238,7 @@
 
     /** Shows the bytes that were left over once more. */
     protected final void again() {
-        if (!closed && !parting && BufferUtil.hasContent(in)) {
+        if (!closed && !parting && !full && BufferUtil.hasContent(in)) {
             received(in);
             if (BufferUtil.isEmpty(in)) { // else one that was full would count as full still, and never be read into
                 BufferUtil.clear(in);
@@ -236,7 +251,7 @@
 
     private void read() {
         try {
-            while (!closed && !BufferUtil.isFull(in)) {
+            while (!closed && !full && !BufferUtil.isFull(in)) {
                 int got = getEndPoint().fill(in);
                 if (got < 0) {
                     broken();
@@ -265,7 +280,7 @@
                     BufferUtil.clear(in);
                 }
             }
-            // a full buffer that nobody takes from stays unread: what a peer sends ahead is bounded by it
+            // a full buffer that nobody takes from stays unread: what a peer sends ahead is bounded by it, and by the marks
         } catch (IOException e) {
             broken();
         } catch (RuntimeException e) { // guards against a link that nobody reads from any more, yet stays open
--- a/src/main/java/damsonslip/platform/servers/Discovery.java
+++ b/src/main/java/damsonslip/platform/servers/Discovery.java
@@ -6,6 +6,7 @@
 import damsonslip.net.Lines;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
+import damsonslip.pace.Pace;
 import damsonslip.platform.http.Encoder;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -22,6 +23,11 @@
     /** A watch says something every two seconds; one that is silent for longer than this is dead. */
     private static final long SILENT_US = 3_500_000;
     private static final int MOST_LINE = 4 * 1024 * 1024;
+    /**
+     * A head or a line that has begun comes on at this rate, or the watch is broken, though a byte now and then keeps it
+     * from being silent: a list of 60 workers has 10 KB, and news that take longer are too old.
+     */
+    private static final Pace.Limits COMING = new Pace.Limits(SILENT_US, SILENT_US, 4 * 1024);
 
     private final Links links;
     private final HostGroup hosts;
@@ -83,6 +89,7 @@
     private final class Watch extends Link implements AnswerReader.Taker {
         private final AnswerReader reader = new AnswerReader(this);
         private final Lines lines = new Lines(MOST_LINE);
+        private final Pace coming = new Pace(COMING);
         private Loop.Timer silent;
         private final int number;
         private int status;
@@ -103,6 +110,7 @@
             }
             current = this;
             heard();
+            coming.begin(links.loop().now());
             HttpFields fields = HttpFields.build().add("Host", "discovery");
             write(() -> { },
                 Encoder.request("GET", "/v1/servers?watch=1&after=" + hosts.generation(), fields, new byte[0]));
@@ -118,7 +126,16 @@
         @Override
         protected void received(ByteBuffer bytes) {
             heard();
+            coming.moved(links.loop().now(), bytes.remaining());
             reader.read(bytes);
+            if (status != 0 && lines.begun() == 0) {
+                coming.end();
+            } else {
+                coming.begin(links.loop().now());
+            }
+            if (coming.tooSlow(links.loop().now())) {
+                fail("it trickles");
+            }
         }
 
         @Override
--- a/src/test/java/damsonslip/platform/DiscoveryTroubleTest.java
+++ b/src/test/java/damsonslip/platform/DiscoveryTroubleTest.java
@@ -181,4 +181,29 @@
         }
         assertEquals(before, jobs("goes"), "none of them has gone to who is told as gone");
     }
+
+    /** Guards against a watch that a byte now and then keeps from being silent, while its list never comes. */
+    @Test
+    void aListThatTricklesIsGivenUpAndAskedForAnew() throws Exception {
+        String a = worker("a", SERVE);
+        String b = worker("b", SERVE);
+        String news = list(9, true, b);
+        discovery = new Peer.Server(0, peer -> {
+            peer.message();
+            peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            if (calls.incrementAndGet() > 1) {
+                peer.chunk(news);
+                Thread.sleep(30_000);
+            }
+            for (int i = 0; i < news.length(); i++) { // as one who would need minutes
+                peer.send("1\r\n" + news.charAt(i) + "\r\n");
+                Thread.sleep(300);
+            }
+        });
+        servers.add(discovery);
+        start(a);
+        assertEquals(200, ask(query("q1", "submit", "2000m")).status(), "nobody waits for it");
+        program.awaitWord("it trickles");
+        Program.await("the next call brings the news", () -> served("b"));
+    }
 }
--- a/src/test/java/damsonslip/platform/SlowPeersTest.java
+++ b/src/test/java/damsonslip/platform/SlowPeersTest.java
@@ -166,4 +166,29 @@
         assertEquals(143, program.exit());
         assertTrue(program.said().contains(" slow_readers_let_go=1"), program.said());
     }
+
+    /** Guards against a console that sends ahead and reads nothing: it holds one answer, is shown, and is let go. */
+    @Test
+    void aConsoleThatReadsNothingHoldsOneAnswerAndIsLetGo() throws Exception {
+        int console = Program.freePort();
+        List<String> known = new ArrayList<>();
+        for (int i = 0; i < 2_000; i++) {
+            known.add(entry("worker-with-a-long-name-" + i, 9, "ready"));
+        }
+        Path file = config(list(7, true, known.toArray(String[]::new)));
+        program = new Program(file, Map.of("DAMSONSLIP_CONSOLE", "127.0.0.1:" + console), List.of("-Xmx32m"), "serve")
+            .awaitWord("listens on");
+        try (Socket silent = new Socket()) {
+            silent.setReceiveBufferSize(SMALL);
+            silent.connect(new InetSocketAddress("127.0.0.1", console));
+            silent.getOutputStream().write("workers\n".repeat(900).getBytes(StandardCharsets.UTF_8)); // 120 MB of answers
+            Program.await("it is shown", () -> slow(console).contains("reads the console"));
+            program.awaitWord("a console reads nothing of its answer and is let go");
+        }
+        assertFalse(program.said().contains("OutOfMemory"), program.said());
+        try (Peer asker = Peer.connect(console).send("phase\nphase\n")) { // sent ahead, and read: each is answered
+            assertEquals(List.of("serving", ".", "serving", "."), List.of(asker.line(), asker.line(), asker.line(),
+                asker.line()));
+        }
+    }
 }
