Measure what 300 slow clients of five kinds cost usual ones: make bench-slow-peers

Twelve usual clients, rounds of 12 s without and with 300 that say nothing, send heads or bodies by the byte, or read a 250 KB answer slowly or not at all, on 64 MB of heap; each let go comes back at once.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The few things that are done with this repository.
-.PHONY: build test lint run faktory console conformance bench-faktory clean
+.PHONY: build test lint run faktory console conformance bench-faktory bench-slow-peers clean
 
 build:      ## the jar, without tests, and the archive of its classes that makes starts short
 	mvn -q -B -ntp -DskipTests package
@@ -27,5 +27,8 @@
 bench-faktory: build ## rates and times of the Faktory front by connections and store; two minutes, machine to itself
 	bench/faktory.sh 10000
 
+bench-slow-peers: ## what 300 slow clients cost usual ones; two minutes, machine to itself
+	mvn -q -B -ntp test -Dtest=SlowPeersMeasurement
+
 clean:
 	mvn -q -B -ntp clean
--- a/src/test/java/damsonslip/kit/Program.java
+++ b/src/test/java/damsonslip/kit/Program.java
@@ -113,6 +113,13 @@
         }
     }
 
+    /** What it has in memory. */
+    public long residentMb() throws IOException {
+        return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
+            .filter(line -> line.startsWith("VmRSS:")).mapToLong(line -> Long.parseLong(line.replaceAll("\\D", "")) / 1024)
+            .findFirst().orElse(0);
+    }
+
     private static boolean isSocket(Path descriptor) {
         try {
             return Files.readSymbolicLink(descriptor).toString().startsWith("socket:");
--- /dev/null
+++ b/src/test/java/damsonslip/platform/SlowPeersMeasurement.java
@@ -0,0 +1,158 @@
+package damsonslip.platform;
+
+import damsonslip.kit.Program;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/**
+ * What 300 slow clients of every kind cost usual ones: not a test (its name keeps it out of CI), but {@code make
+ * bench-slow-peers}, two minutes on a machine that is otherwise idle. Rounds without and with them alternate.
+ */
+class SlowPeersMeasurement extends PlatformStage {
+    private static final int SLOW = 300;
+    private static final int USUAL = 12;
+    private static final int ROUNDS = 3;
+    private static final long ROUND_MS = 12_000;
+    private static final double AIM_MS = 500;
+    private static final String BIG = "x".repeat(250_000);
+    private static final Work WORK = (peer, job) -> {
+        Thread.sleep(15);
+        String id = job.field("X-Correlation-Id");
+        peer.answerLines(state(job, "started", ""), state(job, "done",
+            ",\"result\":\"" + (id.startsWith("big") ? BIG : "r-" + id) + "\",\"load\":{\"x0\":3}"));
+    };
+
+    /** What a slow client does on a connection until that ends. */
+    private interface Habit {
+        void on(Socket socket, String id) throws IOException, InterruptedException;
+    }
+
+    private static final List<Habit> HABITS = List.of(
+        (socket, id) -> socket.getInputStream().read(), // says nothing
+        (socket, id) -> trickle(socket, query(id, "read", "4000m"), 0), // its head by the byte
+        (socket, id) -> trickle(socket, query(id, "read", "4000m"), 4), // its body by the byte
+        (socket, id) -> { // reads nothing of a large answer
+            send(socket, query(id, "read", "4000m"));
+            Thread.sleep(60_000);
+        },
+        (socket, id) -> { // reads 1 KB a second of it
+            send(socket, query(id, "read", "4000m"));
+            InputStream in = socket.getInputStream();
+            while (in.read(new byte[100]) >= 0) {
+                Thread.sleep(100);
+            }
+        });
+
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
+    private final AtomicInteger ids = new AtomicInteger();
+    private volatile boolean over;
+
+    private static void send(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void trickle(Socket socket, String text, int last) throws IOException, InterruptedException {
+        int from = last == 0 ? 0 : text.length() - last;
+        send(socket, text.substring(0, from));
+        for (int i = from; i < text.length(); i++) {
+            send(socket, text.substring(i, i + 1));
+            Thread.sleep(900); // well within any limit on silence
+        }
+        while (socket.getInputStream().read(new byte[4096]) >= 0) {
+            continue;
+        }
+    }
+
+    private void slow(Habit habit) {
+        while (!over) {
+            try (Socket socket = new Socket()) {
+                socket.setReceiveBufferSize(4096);
+                socket.connect(new InetSocketAddress("127.0.0.1", port));
+                sockets.add(socket);
+                habit.on(socket, "big" + ids.incrementAndGet());
+            } catch (IOException e) {
+                // let go: the next one comes
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    /** Milliseconds of each answer that was served; below nought if it was not. */
+    private void usual(ConcurrentLinkedQueue<Double> times) {
+        while (!over) {
+            long before = System.nanoTime();
+            boolean served;
+            try {
+                String id = "u" + ids.incrementAndGet();
+                served = ask(query(id, ids.get() % 2 == 0 ? "read" : "submit", "2000m")).status() == 200;
+            } catch (IOException e) {
+                served = false;
+            }
+            times.add(served ? (System.nanoTime() - before) / 1e6 : -1);
+        }
+    }
+
+    private String round(int slowPeers) throws Exception {
+        over = false;
+        ConcurrentLinkedQueue<Double> times = new ConcurrentLinkedQueue<>();
+        List<Thread> threads = new ArrayList<>();
+        for (int i = 0; i < slowPeers; i++) {
+            Habit habit = HABITS.get(i % HABITS.size());
+            threads.add(new Thread(() -> slow(habit)));
+        }
+        threads.forEach(Thread::start);
+        Thread.sleep(slowPeers > 0 ? 3_000 : 500); // the slow ones are all there before it counts
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < USUAL; i++) {
+            clients.add(new Thread(() -> usual(times)));
+        }
+        clients.forEach(Thread::start);
+        Thread.sleep(ROUND_MS);
+        String held = program.sockets() + " sockets, " + program.residentMb() + " MB";
+        over = true;
+        for (Thread each : clients) {
+            each.join();
+        }
+        for (Socket each : sockets) {
+            each.close();
+        }
+        sockets.clear();
+        for (Thread each : threads) {
+            each.interrupt();
+            each.join();
+        }
+        double[] served = times.stream().filter(time -> time >= 0).mapToDouble(time -> time).sorted().toArray();
+        long inTime = Arrays.stream(served).filter(time -> time <= AIM_MS).count();
+        return String.format("%3d slow: %5d queries, %.4f in time, median %.1f ms, 99%% %.1f ms; %s", slowPeers,
+            times.size(),
+            (double) inTime / times.size(), served[served.length / 2], served[served.length * 99 / 100], held);
+    }
+
+    @Test
+    void whatTheyCostUsualClients() throws Exception {
+        Path file = config(list(7, true, worker("a", WORK), worker("b", WORK), worker("c", WORK), worker("d", WORK)));
+        program = new Program(file, Map.of(), List.of("-Xmx64m", "-Xss256k"), "serve").awaitWord("listens on");
+        round(0); // for the compiler
+        for (int i = 0; i < ROUNDS; i++) {
+            System.out.println(round(0));
+            System.out.println(round(SLOW));
+        }
+        program.terminate();
+        program.exit();
+        program.said().lines().filter(line -> line.startsWith("counters")).forEach(System.out::println);
+    }
+}
