--- a/src/test/java/damsonslip/platform/PlatformTest.java
+++ b/src/test/java/damsonslip/platform/PlatformTest.java
@@ -310,7 +310,7 @@
             try {
                 return ask(query("q" + System.nanoTime(), "read", "2000m")).status() == 200;
             } catch (IOException e) {
-                return false; // on a busy machine so many are accepted and not yet sorted that there is no room for a moment
+                return false; // so many are accepted and not yet sorted that there is no room
             }
         });
         for (Peer peer : silent) {
