--- a/src/test/java/damsonslip/platform/SlowPeersTest.java
+++ b/src/test/java/damsonslip/platform/SlowPeersTest.java
@@ -178,6 +178,13 @@
         Path file = config(list(7, true, known.toArray(String[]::new)));
         program = new Program(file, Map.of("DAMSONSLIP_CONSOLE", "127.0.0.1:" + console), List.of("-Xmx32m"), "serve")
             .awaitWord("listens on");
+        Program.await("the console listens, a moment after the clients' door", () -> {
+            try (Peer asker = Peer.connect(console)) {
+                return true;
+            } catch (IOException e) {
+                return false;
+            }
+        });
         try (Socket silent = new Socket()) {
             silent.setReceiveBufferSize(SMALL);
             silent.connect(new InetSocketAddress("127.0.0.1", console));
