Do all writing on the loop, so that a reset cannot overtake the word of a last byte

Seen by reading: a write that the system did not take at once was finished on the selector's thread, and the loop heard of it in a later task (Link.Written.finish). A read task queued before it found the reset first: ServerLink.lost saw written=false though the last byte had left, and an apply-submit would have been sent again.

--- a/src/main/java/damsonslip/net/Link.java
+++ b/src/main/java/damsonslip/net/Link.java
@@ -31,12 +31,16 @@
     private static final int HIGH = 256 * 1024;
     private static final int LOW = HIGH / 4;
 
+    /** So much is read from a peer at one go, however fast it sends; then others have their turn. */
+    private static final int MOST_AT_ONCE = 64 * 1024;
+
     private static final ByteBuffer[] NOTHING = {};
 
     private record Out(ByteBuffer[] bytes, Runnable written) { }
 
     private final Loop loop;
-    private final ByteBuffer in = BufferUtil.allocate(IN_BUFFER);
+    private final int mostAhead;
+    private ByteBuffer in = BufferUtil.allocate(IN_BUFFER);
     private final ArrayDeque<Out> out = new ArrayDeque<>();
     private boolean writing;
     /** What waits has passed the high mark, and not yet fallen below the low one. */
@@ -49,8 +53,18 @@
     private int dropped;
 
     protected Link(EndPoint endPoint, Loop loop) {
+        this(endPoint, loop, IN_BUFFER);
+    }
+
+    /**
+     * A link that goes on reading though nobody takes what it reads, so that it learns of its peer's departure.
+     *
+     * @param mostAhead so much is kept of it; then nothing more is read
+     */
+    protected Link(EndPoint endPoint, Loop loop, int mostAhead) {
         super(endPoint, loop::execute);
         this.loop = loop;
+        this.mostAhead = mostAhead;
     }
 
     /** The connection is up. */
@@ -99,6 +113,18 @@
         }
     }
 
+    /**
+     * Ends the connection in good order, or at once if the goodbye has been said. Guards what was written last: bytes that
+     * come in the moment of a close would have the system reset the connection, and take that along.
+     */
+    final void makeWay() {
+        if (parting) {
+            end();
+        } else {
+            endWhenWritten();
+        }
+    }
+
     private void sayGoodbye() {
         if (!closed && !parting) {
             parting = true;
@@ -148,20 +174,15 @@
         }
         writing = true;
         current = next.bytes();
-        Written done = new Written(next.written());
-        getEndPoint().write(done, next.bytes());
-        done.settle();
+        getEndPoint().write(new Written(next.written()), next.bytes());
     }
 
     /**
-     * Jetty reports a write from within the call where it could be done at once, else from its own thread. Both
-     * lead to the loop; the first without a detour, so that what is written counts as written at once.
+     * Told on the loop, since {@link Links} has all writing done there: whatever event comes next finds it known already
+     * whether the last byte has left.
      */
     private final class Written implements Callback {
         private final Runnable then;
-        private final Thread caller = Thread.currentThread();
-        private boolean inCall = true;
-        private Runnable result;
 
         Written(Runnable then) {
             this.then = then;
@@ -169,39 +190,22 @@
 
         @Override
         public void succeeded() {
-            finish(() -> {
-                writing = false;
-                current = NOTHING; // a link that is kept would keep its last message's room as well
-                if (!closed) {
-                    boolean resumed = full && backlog() <= LOW;
-                    full = full && !resumed;
-                    then.run();
-                    writeNext();
-                    if (resumed) {
-                        again();
-                    }
+            writing = false;
+            current = NOTHING; // a link that is kept would keep its last message's room as well
+            if (!closed) {
+                boolean resumed = full && backlog() <= LOW;
+                full = full && !resumed;
+                then.run();
+                writeNext();
+                if (resumed) {
+                    again();
                 }
-            });
+            }
         }
 
         @Override
         public void failed(Throwable x) {
-            finish(Link.this::broken);
-        }
-
-        private void finish(Runnable end) {
-            if (Thread.currentThread() == caller && inCall) {
-                result = end;
-            } else {
-                loop.execute(end);
-            }
-        }
-
-        void settle() {
-            inCall = false;
-            if (result != null) {
-                result.run();
-            }
+            broken();
         }
 
         @Override
@@ -221,9 +225,10 @@
         });
     }
 
+    /** Told on the loop, like the end of a write. */
     @Override
     public final void onFillable() {
-        loop.execute(this::read);
+        read();
     }
 
     @Override
@@ -240,9 +245,7 @@
     protected final void again() {
         if (!closed && !parting && !full && BufferUtil.hasContent(in)) {
             received(in);
-            if (BufferUtil.isEmpty(in)) { // else one that was full would count as full still, and never be read into
-                BufferUtil.clear(in);
-            }
+            taken();
         }
         if (!closed && !isFillInterested()) {
             read();
@@ -250,8 +253,9 @@
     }
 
     private void read() {
+        int most = MOST_AT_ONCE;
         try {
-            while (!closed && !full && !BufferUtil.isFull(in)) {
+            while (!closed && !full && room()) {
                 int got = getEndPoint().fill(in);
                 if (got < 0) {
                     broken();
@@ -276,8 +280,11 @@
                 if (!parting) {
                     received(in);
                 }
-                if (BufferUtil.isEmpty(in)) { // else a buffer that was read to its very end would count as full
-                    BufferUtil.clear(in);
+                taken();
+                most -= got;
+                if (most <= 0) {
+                    loop.execute(this::readOn);
+                    return;
                 }
             }
             // a full buffer that nobody takes from stays unread: what a peer sends ahead is bounded by it, and by the marks
@@ -289,6 +296,36 @@
         }
     }
 
+    private void readOn() {
+        if (!closed && !isFillInterested()) {
+            read();
+        }
+    }
+
+    /** Whether there is room to read into; makes some, up to what may be kept. */
+    private boolean room() {
+        if (BufferUtil.isFull(in)) {
+            BufferUtil.compact(in);
+        }
+        if (BufferUtil.isFull(in) && in.capacity() < mostAhead) {
+            ByteBuffer larger = BufferUtil.allocate(Math.min(2 * in.capacity(), mostAhead));
+            BufferUtil.append(larger, in);
+            in = larger;
+        }
+        return !BufferUtil.isFull(in);
+    }
+
+    /** Makes a buffer that was read to its very end usable from its start; else it would count as full. */
+    private void taken() {
+        if (BufferUtil.isEmpty(in)) {
+            if (in.capacity() > IN_BUFFER) {
+                in = BufferUtil.allocate(IN_BUFFER);
+            } else {
+                BufferUtil.clear(in);
+            }
+        }
+    }
+
     private void broken() {
         if (!closed) {
             closed = true;
--- a/src/main/java/damsonslip/net/Links.java
+++ b/src/main/java/damsonslip/net/Links.java
@@ -213,7 +213,21 @@
 
     @Override
     protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-        return new SocketChannelEndPoint((SocketChannel) channel, selector, key, getScheduler());
+        return new SocketChannelEndPoint((SocketChannel) channel, selector, key, getScheduler()) {
+            /**
+             * The selector tells what a connection is ready for; that is then done on the loop. Guards against a write that
+             * is finished on the selector's thread and told of later than it happened: a reset that is read in between
+             * would find that the last byte had not left, and what must run once would be sent elsewhere.
+             */
+            @Override
+            public Runnable onSelected() {
+                Runnable ready = super.onSelected();
+                if (ready != null) {
+                    loop.execute(ready);
+                }
+                return null;
+            }
+        };
     }
 
     @Override
--- a/src/main/java/damsonslip/net/Room.java
+++ b/src/main/java/damsonslip/net/Room.java
@@ -57,7 +57,8 @@
     public void opened(L link) {
         open.add(link);
         if (open.size() > most) {
-            open.stream().filter(other -> other != link).filter(mayGo).min(missed).orElse(link).end();
+            open.stream().filter(other -> other != link).filter(other -> other.isParting() || mayGo.test(other))
+                .min(Comparator.comparing((L other) -> !other.isParting()).thenComparing(missed)).orElse(link).makeWay();
         }
     }
 
@@ -66,6 +67,11 @@
         held.decrementAndGet();
     }
 
+    /** Whether none is left, nor one that was admitted and is not set up yet. */
+    public boolean isEmpty() {
+        return held.get() == 0;
+    }
+
     public Collection<L> all() {
         return open;
     }
