End client links in good order, and notice who leaves behind what was sent ahead

Read in ClientLink: endIfIdle, overdue and room-making closed the socket after a look; bytes that came between reset the connection and took the last answer along. All now shut their output, read and drop for half a second, then close; overdue looks first. A client that sent over 8 KB ahead of its answer filled the buffer, was read no more, and its departure went unseen: reading goes on up to one further message (72 KB), and who sends more gets a 400. The exit waits for goodbyes and for connections on their way in (ClientSide.gone).

--- a/src/main/java/damsonslip/platform/clients/ClientLink.java
+++ b/src/main/java/damsonslip/platform/clients/ClientLink.java
@@ -10,6 +10,7 @@
 import damsonslip.pace.Pace;
 import damsonslip.parting.Parting;
 import damsonslip.platform.http.Encoder;
+import damsonslip.platform.http.Field;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
@@ -30,6 +31,12 @@
      */
     private static final Pace.Limits READING = new Pace.Limits(5_000_000, 10_000_000, 2 * 1024);
 
+    /**
+     * What is read of a client while its query waits: a further message as large as they may be. Guards against departures
+     * that go unnoticed behind what was sent ahead: as long as there is room, the end of the connection is read as well.
+     */
+    private static final int MOST_AHEAD = Field.MOST_HEADERS + Field.MOST_BODY;
+
     private final Outflow reading;
     private final ClientSide side;
     private final QueryReader reader = new QueryReader();
@@ -45,7 +52,7 @@
     long idleSinceUs;
 
     ClientLink(EndPoint endPoint, ClientSide side) {
-        super(endPoint, side.loop());
+        super(endPoint, side.loop(), MOST_AHEAD);
         this.side = side;
         this.reading = new Outflow(side.loop(), READING, this::backlog, this::readsNothing);
     }
@@ -94,16 +101,17 @@
      * body can be no query, and what was cut off must not be served as though it were one.
      */
     private void checkAhead(ByteBuffer bytes) {
-        if (QueryReader.mayBegin(bytes)) {
+        boolean query = QueryReader.mayBegin(bytes);
+        if (query && bytes.remaining() < MOST_AHEAD) {
             return;
         }
         if (exchange == null) { // its answer is being written already
-            leaving = true;
+            leaving |= !query;
             return;
         }
         side.driver().gone(exchange);
         exchange = null;
-        refuse(new QueryHead.Bad(400, "longer than it says"));
+        refuse(new QueryHead.Bad(400, query ? "too much sent ahead of its answer" : "longer than it says"));
     }
 
     /** An error is the last thing on a connection: who has sent one bad message may have hidden others in it. */
@@ -117,13 +125,16 @@
     /** Guards against clients that say nothing, or never end what they say: these would fill all the room there is. */
     private void overdue() {
         overdue = null;
+        boolean begun = reader.midway();
+        look();
         if (busy || isClosed()) {
             return;
         }
-        if (reader.midway()) {
+        if (begun) {
+            cancelOverdue();
             refuse(new QueryHead.Bad(408, "the query did not come whole"));
-        } else {
-            end();
+        } else if (!reader.midway()) { // one that has begun in this moment has its own time
+            endWhenWritten();
         }
     }
 
@@ -206,13 +217,13 @@
         side.loop().execute(this::again);
     }
 
-    /** Ends it between queries; one that has just come is served first. */
+    /** Ends it between queries; one that has just come is served first, and one that crosses the end is not read as one. */
     void endIfIdle() {
         if (idle()) {
             look();
         }
-        if (idle()) {
-            end();
+        if (idle() && !isClosed()) {
+            endWhenWritten();
         }
     }
 
--- a/src/main/java/damsonslip/platform/clients/ClientSide.java
+++ b/src/main/java/damsonslip/platform/clients/ClientSide.java
@@ -96,9 +96,12 @@
         }
     }
 
-    /** Whether no client's connection is left but to say goodbye. */
+    /**
+     * Whether no client's connection is left, and none is on its way in. Those that say goodbye count: an exit over bytes
+     * that come then would reset them, and take the last answer along.
+     */
     public boolean gone() {
-        return room.all().stream().allMatch(Link::isParting);
+        return room.isEmpty();
     }
 
     /** Another process of this scheduler takes what comes: to the front, the address goes on being healthy. */
