Let nothing a worker sends unasked for count for the next query; follow settings at a stop

What must not run twice takes links that have rested 100 ms, and elsewhere such a head proves nothing to it. - An answer that goes on behind its last line was read for ever; it ends 0.5 s later. - A kept link is looked at before it is used. PlatformTest's kept link now rests 150 ms between two 'submit' queries: by design a younger one is not used; as strict otherwise.

--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -5,9 +5,11 @@
 import damsonslip.Dispatch.AttemptStarted;
 import damsonslip.Dispatch.Cancel;
 import damsonslip.Dispatch.Divided;
+import damsonslip.Dispatch.Effect;
 import damsonslip.Dispatch.Event;
 import damsonslip.Dispatch.Fail;
 import damsonslip.Dispatch.JobArrived;
+import damsonslip.Dispatch.JobClass;
 import damsonslip.Dispatch.JobGone;
 import damsonslip.Dispatch.ListMode;
 import damsonslip.Dispatch.ListUpdate;
@@ -46,6 +48,9 @@
     /** No more queries than this are held at once; what comes beyond is throttled before the module sees it. */
     public static final int MOST_OPEN = 2_000;
 
+    /** A repeat is begun this much before its window ends: it counts when it has arrived whole. */
+    private static final long ARRIVES_US = 20_000;
+
     /** A trace tells how things stand this often: the seconds that a fleet's logs are summed by. */
     private static final long TRACE_US = 1_000_000;
 
@@ -230,6 +235,10 @@
         execution.timeout.cancel();
         Exchange exchange = execution.exchange;
         exchange.outstanding--;
+        JobClass of = settings.classes().get(execution.query().jobClass());
+        if (of.effect() == Effect.KEYED && !end.outcome().provesNotRun()) {
+            exchange.repeatsUntilUs = Math.min(exchange.repeatsUntilUs, execution.sentUs() + of.windowUs() - ARRIVES_US);
+        }
         counters.add(switch (end.outcome()) {
             case SERVED -> Count.EXECUTIONS_SERVED;
             case ERROR -> Count.EXECUTIONS_ERROR;
@@ -322,7 +331,8 @@
         long now = loop.now();
         long deadline = exchange.query().deadlineUs();
         long endsBy = send.timeoutUs() > 0 ? Math.min(deadline, now + send.timeoutUs()) : deadline;
-        Execution execution = new Execution(exchange, exchange.executions.size(), send.worker(), now, endsBy);
+        Execution execution = new Execution(exchange, exchange.executions.size(), send.worker(), now,
+            exchange.repeatsUntilUs, endsBy);
         exchange.executions.add(execution);
         trace.sent(execution);
         exchange.outstanding++;
--- a/src/main/java/damsonslip/core/Exchange.java
+++ b/src/main/java/damsonslip/core/Exchange.java
@@ -12,6 +12,8 @@
     private final Asker asker;
     final List<Execution> executions = new ArrayList<>(1);
     int outstanding;
+    /** When repeats are last known for such, counted from the first execution that may have run. */
+    long repeatsUntilUs = Long.MAX_VALUE;
     private boolean closed;
 
     Exchange(Query query, Asker asker) {
--- a/src/main/java/damsonslip/core/Execution.java
+++ b/src/main/java/damsonslip/core/Execution.java
@@ -10,14 +10,16 @@
     private final String worker;
     private final long sentUs;
     private final long endsByUs;
+    private final long beginsByUs;
     Loop.Timer timeout;
     boolean open = true;
 
-    Execution(Exchange exchange, int number, String worker, long sentUs, long endsByUs) {
+    Execution(Exchange exchange, int number, String worker, long sentUs, long beginsByUs, long endsByUs) {
         this.exchange = exchange;
         this.number = number;
         this.worker = worker;
         this.sentUs = sentUs;
+        this.beginsByUs = beginsByUs;
         this.endsByUs = endsByUs;
     }
 
@@ -38,6 +40,14 @@
         return sentUs;
     }
 
+    /**
+     * Whether it may still be written to its worker. Guards what was decided some time ago, before a connection came up:
+     * its client may have gone since, or the time in which its worker would know it for a repeat has passed.
+     */
+    public boolean mayBegin(long nowUs) {
+        return open && !exchange.closed() && nowUs < beginsByUs;
+    }
+
     /** When the scheduler stops waiting for it. */
     public long endsByUs() {
         return endsByUs;
--- a/src/main/java/damsonslip/faktory/Faktory.java
+++ b/src/main/java/damsonslip/faktory/Faktory.java
@@ -64,7 +64,7 @@
     private List<Runnable> early = new ArrayList<>();
     private long commands;
     private long heldBytes;
-    private Closeable listener;
+    private volatile Closeable listener;
 
     public Faktory(Loop loop, Phase phase, Counters counters, FaktoryConfig config, String file)
         throws BadInput {
@@ -137,6 +137,10 @@
     public void leave() {
         long longest = config.site().deadlinesUs().stream().mapToLong(Long::longValue).max().orElse(0);
         boolean lasting = !config.store().equals("memory");
+        if (listener == null) { // nobody could come yet
+            phase.moveTo(State.ENDED);
+            return;
+        }
         loop.execute(() -> new Leave(loop, phase, LEAVING_US, longest, () -> false, this::shut,
             () -> lasting ? consumers.awaitedInHand() == 0 : desk.awaited() == 0).begin());
     }
--- a/src/main/java/damsonslip/parting/Parting.java
+++ b/src/main/java/damsonslip/parting/Parting.java
@@ -23,11 +23,11 @@
     }
 
     /**
-     * For a successor that serves already: whatever is taken must be answered before the process may be killed, 3.45 s
-     * after it was told to end. Clients that come back find the successor, so a connection may go soon.
+     * For a successor that serves already: whatever is taken must be answered before the process may be killed. Clients
+     * that come back find the successor, so a connection may go soon.
      */
-    public static Parting succeeded(long nowUs) {
-        return new Parting(nowUs, 300_000, 700_000, 1_800_000);
+    public static Parting succeeded(long nowUs, StopTimes times) {
+        return new Parting(nowUs, 300_000, 700_000, Math.max(400_000, times.openUs() - 600_000));
     }
 
     /**
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -16,6 +16,7 @@
 import damsonslip.net.Address;
 import damsonslip.net.Links;
 import damsonslip.parting.Parting;
+import damsonslip.parting.StopTimes;
 import damsonslip.platform.clients.ClientSide;
 import damsonslip.platform.servers.HostGroup;
 import damsonslip.platform.servers.ServerSide;
@@ -28,8 +29,11 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -37,13 +41,6 @@
 /** The platform's front put together: HTTP from clients, HTTP to workers, the list from discovery. */
 public final class Platform implements Front {
     private static final Logger LOG = LoggerFactory.getLogger(Platform.class);
-    /**
-     * Clients and their front go on as before for a while after a stop is told; nobody may find the door shut. Kept
-     * connections serve one last query each for as long, since another scheduler may just be starting.
-     */
-    private static final long LEAVING_US = 2_400_000;
-    /** Whatever is open is answered within this time of a stop being told: the process may be killed soon after. */
-    private static final long LAST_ANSWER_US = 3_450_000;
     /** Descriptors for what is neither a client's nor a worker's connection: files, the selector, discovery. */
     private static final int OTHER_SOCKETS = 24;
     /** One part of so many is for connections that were accepted just now and for which others have yet to go. */
@@ -61,6 +58,7 @@
     private final NodeConfig config;
     private final Map<String, String> environment;
     private final Driver driver;
+    private final StopTimes stopTimes;
     private ClientSide clients;
     private ServerSide servers;
     private Links.Door door;
@@ -73,6 +71,7 @@
         this.counters = counters;
         this.config = config;
         this.environment = environment;
+        this.stopTimes = StopTimes.of(longestDeadlineUs());
         this.driver = new Driver(config.site().settings(), config.seed(), loop, counters);
     }
 
@@ -86,29 +85,45 @@
         HostGroup.Update known = known(servers.hosts());
         Folder folder = folder();
         handover = folder == null ? null : new Handover(folder, loop, driver, this::divided);
-        loop.execute(() -> begin(known));
-        awaitServing();
-        door = clients.listen(listen, handover != null);
+        CompletableFuture<Boolean> open = new CompletableFuture<>();
+        loop.execute(() -> begin(known, listen, open));
+        if (!serving(open)) {
+            return; // told to end before anybody could come
+        }
         if (handover != null) {
             folder.serving();
         }
         LOG.info("{} listens on {}, {} workers known", config.name(), config.listen(), known.entries().size());
     }
 
-    private void begin(HostGroup.Update known) {
+    private void begin(HostGroup.Update known, InetSocketAddress listen, CompletableFuture<Boolean> open) {
         driver.begin(servers, servers.begin(known));
         if (handover != null) {
             handover.begin(); // the bans, and who else sends, before the first query
         }
-        phase.moveTo(State.SERVING);
+        servers.whenTold(() -> open(listen, open));
     }
 
-    /** Nobody who comes shall have to wait for that; beside another process, those who come would be better off there. */
-    private void awaitServing() throws IOException {
+    /** On the loop, where a stop is told as well: it finds the door open, and shuts it, or keeps it from opening. */
+    private void open(InetSocketAddress listen, CompletableFuture<Boolean> open) {
         try {
-            if (!phase.await(State.SERVING, BEGIN_MS)) {
-                throw new IOException("not ready to serve after " + BEGIN_MS + " ms");
+            phase.moveTo(State.SERVING); // nobody who comes shall have to wait
+            if (phase.is(State.SERVING)) {
+                door = clients.listen(listen, handover != null);
             }
+            open.complete(door != null);
+        } catch (IOException | RuntimeException e) {
+            open.completeExceptionally(e);
+        }
+    }
+
+    private static boolean serving(CompletableFuture<Boolean> open) throws IOException {
+        try {
+            return open.get(BEGIN_MS, TimeUnit.MILLISECONDS);
+        } catch (TimeoutException e) {
+            throw new IOException("not ready to serve after " + BEGIN_MS + " ms", e);
+        } catch (ExecutionException e) {
+            throw e.getCause() instanceof IOException cause ? cause : new IOException(e.getCause());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
@@ -194,13 +209,20 @@
 
     @Override
     public void leave() {
-        long longest = config.site().deadlinesUs().stream().mapToLong(Long::longValue).max().orElse(0);
         loop.execute(() -> {
-            clients.answerBy(loop.now() + LAST_ANSWER_US);
-            loop.in(LAST_ANSWER_US, driver::answerAll);
+            if (door == null) { // nobody could come yet, and nobody will
+                phase.moveTo(State.ENDED);
+                return;
+            }
+            clients.answerBy(loop.now() + stopTimes.lastAnswerUs());
+            loop.in(stopTimes.lastAnswerUs(), driver::answerAll);
+            new Leave(loop, phase, stopTimes.openUs(), longestDeadlineUs(), this::succeeded, this::shut,
+                this::done).begin();
         });
-        loop.execute(() -> new Leave(loop, phase, LEAVING_US, longest, this::succeeded, this::shut,
-            this::done).begin());
+    }
+
+    private long longestDeadlineUs() {
+        return config.site().deadlinesUs().stream().mapToLong(Long::longValue).max().orElse(0);
     }
 
     @Override
@@ -223,7 +245,7 @@
 
     private void shut() {
         door.shut();
-        clients.sendAway(succeeded() ? Parting.succeeded(loop.now()) : Parting.shut(loop.now()));
+        clients.sendAway(succeeded() ? Parting.succeeded(loop.now(), stopTimes) : Parting.shut(loop.now()));
     }
 
     private boolean done() {
--- a/src/main/java/damsonslip/platform/servers/AnswerReader.java
+++ b/src/main/java/damsonslip/platform/servers/AnswerReader.java
@@ -39,6 +39,10 @@
         this.taker = taker;
     }
 
+    /**
+     * Takes bytes in. Guards against what comes behind an answer's end: nobody asked for it, and the next answer could not
+     * be told from it, so that the connection must not serve again.
+     */
     void read(ByteBuffer bytes) {
         while (!broken && BufferUtil.hasContent(bytes)) {
             int before = bytes.remaining();
@@ -48,7 +52,8 @@
                 parser.reset();
                 fields = new HashMap<>();
                 if (status >= 200) {
-                    taker.ended(persistent);
+                    taker.ended(persistent && !BufferUtil.hasContent(bytes));
+                    return;
                 }
             } else if (bytes.remaining() == before) {
                 return;
--- a/src/main/java/damsonslip/platform/servers/Discovery.java
+++ b/src/main/java/damsonslip/platform/servers/Discovery.java
@@ -3,7 +3,6 @@
 import damsonslip.Dispatch.ListMode;
 import damsonslip.core.Driver;
 import damsonslip.core.Loop;
-import damsonslip.net.Lines;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
 import damsonslip.pace.Pace;
@@ -22,7 +21,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Discovery.class);
     /** A watch says something every two seconds; one that is silent for longer than this is dead. */
     private static final long SILENT_US = 3_500_000;
-    private static final int MOST_LINE = 4 * 1024 * 1024;
+    private static final int MOST_OBJECT = 4 * 1024 * 1024;
     /**
      * A head or a line that has begun comes on at this rate, or the watch is broken, though a byte now and then keeps it
      * from being silent: a list of 60 workers has 10 KB, and news that take longer are too old.
@@ -32,16 +31,37 @@
     private final Links links;
     private final HostGroup hosts;
     private final Driver driver;
+    /** Where lists are pushed, what is there counts as told whether it is watched or not, and asking costs nothing. */
+    private static final long PUSHED_AGAIN_US = 50_000;
+    /** What was pushed is there at once; where discovery is down nothing is, and nothing counts as told. */
+    private static final long FIRST_US = 500_000;
+
+    private final boolean pushed;
     private InetSocketAddress address;
     /** The number of the newest attempt to watch; of older ones nothing is told any more. */
     private int newest;
+    /** The newest attempt has neither come up nor failed yet. */
+    private boolean dialling;
+    /** No list has come from this address yet: another discovery may count otherwise, so its first is asked for whole. */
+    private boolean unheard;
     private Watch current;
+    private Runnable told = () -> { };
 
-    Discovery(Links links, InetSocketAddress address, HostGroup hosts, Driver driver) {
+    Discovery(Links links, InetSocketAddress address, HostGroup hosts, Driver driver, boolean pushed) {
         this.links = links;
         this.address = address;
         this.hosts = hosts;
         this.driver = driver;
+        this.pushed = pushed;
+    }
+
+    /** Tells once, when the first list has come or it is not worth waiting for any longer. */
+    void whenTold(Runnable next) {
+        told = () -> {
+            told = () -> { };
+            next.run();
+        };
+        links.loop().in(FIRST_US, () -> told.run());
     }
 
     /**
@@ -51,20 +71,21 @@
     void moveTo(InetSocketAddress next) {
         if (!next.equals(address)) {
             address = next;
-            hosts.forgetGeneration();
+            unheard = true;
             connect();
         }
     }
 
-    /** Begins a watch, unless there is one. */
+    /** Begins a watch, unless there is one or one is on its way: another dial would make the first one's watch void. */
     void watch() {
-        if (current == null || current.number != newest) {
+        if (!dialling && (current == null || current.number != newest)) {
             connect();
         }
     }
 
     private void connect() {
         int number = ++newest;
+        dialling = true;
         links.connect(address, new Links.Opening() {
             @Override
             public Link open(EndPoint endPoint) {
@@ -78,17 +99,22 @@
         });
     }
 
-    /** Tells the module that the list is no longer watched, unless a newer watch is on its way. */
+    /** Has the list watched again, unless a newer watch is on its way: where it is asked for, when the module says so. */
     private void over(int number, String why) {
         LOG.info("the watch on discovery is over: {}", why);
         if (number == newest) {
-            driver.listed(ListMode.FAILED, List.of());
+            dialling = false;
+            if (pushed) {
+                links.loop().in(PUSHED_AGAIN_US, this::watch);
+            } else {
+                driver.listed(ListMode.FAILED, List.of());
+            }
         }
     }
 
     private final class Watch extends Link implements AnswerReader.Taker {
         private final AnswerReader reader = new AnswerReader(this);
-        private final Lines lines = new Lines(MOST_LINE);
+        private final Objects objects = new Objects(MOST_OBJECT);
         private final Pace coming = new Pace(COMING);
         private Loop.Timer silent;
         private final int number;
@@ -105,6 +131,7 @@
                 end();
                 return;
             }
+            dialling = false;
             if (current != null) {
                 current.end();
             }
@@ -113,7 +140,8 @@
             coming.begin(links.loop().now());
             HttpFields fields = HttpFields.build().add("Host", "discovery");
             write(() -> { },
-                Encoder.request("GET", "/v1/servers?watch=1&after=" + hosts.generation(), fields, new byte[0]));
+                Encoder.request("GET", "/v1/servers?watch=1&after=" + (unheard ? 0 : hosts.generation()), fields,
+                    new byte[0]));
         }
 
         private void heard() {
@@ -128,7 +156,7 @@
             heard();
             coming.moved(links.loop().now(), bytes.remaining());
             reader.read(bytes);
-            if (status != 0 && lines.begun() == 0) {
+            if (status != 0 && objects.begun() == 0) {
                 coming.end();
             } else {
                 coming.begin(links.loop().now());
@@ -148,25 +176,28 @@
             if (status != 200 || isClosed()) {
                 return;
             }
-            List<String> whole = lines.take(part);
+            List<String> whole = objects.take(part);
             if (whole == null) {
-                fail("a line without end");
+                fail("host group: not JSON, or without end");
                 return;
             }
-            for (String line : whole) {
-                if (!line.isEmpty() && !isClosed()) {
-                    take(line);
+            for (String object : whole) {
+                if (!isClosed()) {
+                    take(object);
                 }
             }
         }
 
-        private void take(String line) {
+        private void take(String object) {
             try {
-                HostGroup.Update update = hosts.decode(line);
+                HostGroup.Update update = hosts.decode(object);
+                unheard &= number != newest;
                 driver.listed(HostGroup.mode(update), hosts.apply(update, links.loop().now()));
             } catch (HostGroup.Malformed e) {
                 fail(e.getMessage());
+                return;
             }
+            told.run();
         }
 
         @Override
--- a/src/main/java/damsonslip/platform/servers/HostGroup.java
+++ b/src/main/java/damsonslip/platform/servers/HostGroup.java
@@ -133,11 +133,6 @@
         return update.whole() ? ListMode.COMPLETE : ListMode.CHANGES;
     }
 
-    /** Another discovery may count otherwise: its first answer shall be what holds, whatever came before. */
-    void forgetGeneration() {
-        generation = 0;
-    }
-
     long generation() {
         return generation;
     }
--- a/src/main/java/damsonslip/platform/servers/ServerLink.java
+++ b/src/main/java/damsonslip/platform/servers/ServerLink.java
@@ -3,6 +3,7 @@
 import damsonslip.Dispatch.Outcome;
 import damsonslip.Dispatch.Report;
 import damsonslip.core.Execution;
+import damsonslip.core.Loop;
 import damsonslip.core.SlowPeer;
 import damsonslip.net.Lines;
 import damsonslip.net.Link;
@@ -29,6 +30,14 @@
      */
     private static final Pace.Limits TAKING = new Pace.Limits(500_000, 500_000, 32 * 1024);
 
+    /**
+     * A second answer may follow the first some milliseconds late. A link that has rested for this long since its last
+     * answer has none to come, so that an answer without an id belongs to the request at hand.
+     */
+    static final long SETTLED_US = 100_000;
+    /** An answer whose last line has come ends in the same moment; one that goes on for this long never ends. */
+    private static final long END_US = 500_000;
+
     private final ServerSide side;
     private final String worker;
     private final Consumer<ServerLink> up;
@@ -47,6 +56,8 @@
     private long idledUs = -1;
     private boolean used;
     private final Outflow taking;
+    /** Runs from an answer's last line to the end of the answer. */
+    private Loop.Timer ending;
     long idleSinceUs;
 
     ServerLink(EndPoint endPoint, ServerSide side, String worker, Consumer<ServerLink> up) {
@@ -116,15 +127,15 @@
         }
     }
 
-    /**
-     * A request that the worker takes too slowly is given up while its last byte is still here: it provably never ran,
-     * and may go elsewhere whatever its class.
-     */
     /** How it takes the request that is being written to it; null if none is. */
     SlowPeer shown() {
         return taking.waits() ? taking.shown("takes a request", worker) : null;
     }
 
+    /**
+     * A request that the worker takes too slowly is given up while its last byte is still here: it provably never ran,
+     * and may go elsewhere whatever its class.
+     */
     private void standsStill() {
         side.standsStill(worker);
         end();
@@ -149,6 +160,9 @@
             return;
         }
         reader.read(bytes);
+        if (busy && !isClosed() && execution == null && !probing && ending == null) {
+            ending = side.loop().in(END_US, this::giveUp);
+        }
     }
 
     @Override
@@ -194,15 +208,25 @@
         }
     }
 
+    /** Whether a turning away without an id can only be of the request at hand. */
+    private boolean settled() {
+        return idledUs < 0 || idledUs >= SETTLED_US;
+    }
+
     @Override
     public void ended(boolean persistent) {
+        if (isClosed()) { // given up over one of its lines; a closed link must not be kept for the next request
+            return;
+        }
+        stopEnding();
         if (probing) {
             probing = false;
             side.probed(worker, status == 200, report);
         } else if (execution != null) {
             boolean turnedAway = unprocessed && (status == 503 || status == 504);
+            boolean unproven = turnedAway && !settled() && side.once(execution);
             // a 200 that ends before its last line tells no more than a connection that breaks
-            finish(turnedAway ? Outcome.FULL : status == 200 ? Outcome.RESET : Outcome.ERROR, null);
+            finish(unproven || status == 200 ? Outcome.RESET : turnedAway ? Outcome.FULL : Outcome.ERROR, null);
         }
         busy = false;
         lines.rest();
@@ -242,9 +266,23 @@
         finish(written ? Outcome.RESET : Outcome.NOT_CONNECTED, null);
     }
 
+    private void stopEnding() {
+        if (ending != null) {
+            ending.cancel();
+            ending = null;
+        }
+    }
+
+    /** Takes in what has come while it rested, a stranger's bytes or the end; tells whether it still stands. */
+    boolean stands() {
+        look();
+        return !isClosed();
+    }
+
     @Override
     protected void released() {
         taking.end();
+        stopEnding();
         side.closed(this);
     }
 }
--- a/src/main/java/damsonslip/platform/servers/ServerSide.java
+++ b/src/main/java/damsonslip/platform/servers/ServerSide.java
@@ -16,9 +16,11 @@
 import damsonslip.settings.Site;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -35,6 +37,7 @@
     /** An idle link is not used again this close to the worker's own limit, where its close may cross a request. */
     private static final long IDLE_MARGIN_US = 3_000_000;
     private static final long SWEEP_US = 500_000;
+    private static final ArrayDeque<ServerLink> NONE = new ArrayDeque<>(0);
 
     private final Links links;
     private final Site site;
@@ -56,7 +59,7 @@
         this.counters = counters;
         this.most = mostLinks;
         this.hosts = new HostGroup(site);
-        this.discovery = new Discovery(links, discovery, hosts, driver);
+        this.discovery = new Discovery(links, discovery, hosts, driver, !site.settings().listOnRequest());
     }
 
     /** There is room for so many links from now on; idle ones beyond that go. */
@@ -73,6 +76,19 @@
         return hosts.apply(known, links.loop().now());
     }
 
+    /**
+     * Goes on once what counts as told is known: at once where lists are asked for, else when the first one has been
+     * pushed, or nothing has come for a while.
+     */
+    public void whenTold(Runnable next) {
+        if (site.settings().listOnRequest()) {
+            next.run();
+        } else {
+            discovery.watch();
+            discovery.whenTold(next);
+        }
+    }
+
     public HostGroup hosts() {
         return hosts;
     }
@@ -85,19 +101,22 @@
             driver.ended(execution, Execution.End.of(Outcome.NOT_CONNECTED));
             return;
         }
-        boolean onceOnly = site.settings().classes().get(execution.query().jobClass()).effect() == Effect.UNSAFE;
-        ServerLink kept = keptLink(worker, onceOnly);
+        ServerLink kept = keptLink(worker, effect(execution));
         if (kept != null) {
             carry(kept, execution);
             return;
         }
-        connect(worker, address, link -> {
-            if (execution.open()) {
-                carry(link, execution);
-            } else {
-                idle(link);
-            }
-        }, () -> driver.ended(execution, Execution.End.of(Outcome.NOT_CONNECTED)));
+        connect(worker, address, link -> carry(link, execution),
+            () -> driver.ended(execution, Execution.End.of(Outcome.NOT_CONNECTED)));
+    }
+
+    private Effect effect(Execution execution) {
+        return site.settings().classes().get(execution.query().jobClass()).effect();
+    }
+
+    /** Whether it matters what an answer proves: a second run would be one too many, or has to be where the first was. */
+    boolean once(Execution execution) {
+        return effect(execution) != Effect.SAFE;
     }
 
     private void connect(String worker, InetSocketAddress address, Consumer<ServerLink> up, Runnable failed) {
@@ -122,10 +141,16 @@
     }
 
     /**
-     * Begins an execution on a link that is up. Guards the drain rule for jobs whose connection came up only
-     * after the news: these were never sent, and the module may place them elsewhere.
+     * Begins an execution on a link that is up. Guards the rules for jobs whose connection came up only after the news, or
+     * after their client had gone or their window had passed: these were never sent, and the module may place them
+     * elsewhere.
      */
     private void carry(ServerLink link, Execution execution) {
+        if (!execution.mayBegin(loop().now())) {
+            idle(link);
+            driver.ended(execution, Execution.End.of(Outcome.NEVER_SENT));
+            return;
+        }
         if (!maySend(execution.worker())) {
             counters.add(Count.DRAINED_SENDS_STOPPED);
             idle(link);
@@ -160,7 +185,7 @@
     @Override
     public void probe(String worker) {
         InetSocketAddress address = hosts.address(worker);
-        ServerLink kept = keptLink(worker, false);
+        ServerLink kept = keptLink(worker, Effect.SAFE);
         if (address == null || !maySend(worker)) {
             loop().execute(() -> driver.probed(worker, false, null));
         } else if (kept != null) {
@@ -198,20 +223,31 @@
 
     /**
      * The link that was used last, so that the others age out and can be closed in time; null if it is too old for
-     * what it is to carry.
+     * what it is to carry. What must not run twice takes the last that is settled.
      */
-    private ServerLink keptLink(String worker, boolean onceOnly) {
-        ArrayDeque<ServerLink> kept = idle.get(worker);
-        ServerLink link = kept == null ? null : kept.peekLast();
-        if (link == null || !keptAge.serves(loop().now() - link.idleSinceUs, onceOnly)) {
-            return null; // the others are older still
-        }
-        kept.pollLast();
-        if (!fresh(link)) {
-            closeIdle(link);
-            return null;
+    private ServerLink keptLink(String worker, Effect effect) {
+        long settledUs = effect == Effect.SAFE ? 0 : ServerLink.SETTLED_US;
+        Iterator<ServerLink> kept = idle.getOrDefault(worker, NONE).descendingIterator();
+        List<ServerLink> fallen = new ArrayList<>(0);
+        ServerLink found = null;
+        while (kept.hasNext() && found == null) {
+            ServerLink link = kept.next();
+            long idled = loop().now() - link.idleSinceUs;
+            if (idled < settledUs) {
+                continue;
+            }
+            if (!keptAge.serves(idled, effect == Effect.UNSAFE)) {
+                break; // the others are older still
+            }
+            kept.remove();
+            if (fresh(link)) {
+                found = link;
+            } else {
+                fallen.add(link);
+            }
         }
-        return link;
+        fallen.forEach(this::closeIdle);
+        return found == null || found.stands() ? found : keptLink(worker, effect);
     }
 
     /** Whether it is far enough from the worker's own limit, and from what has proved too old. */
--- a/src/main/java/damsonslip/program/Serve.java
+++ b/src/main/java/damsonslip/program/Serve.java
@@ -29,6 +29,7 @@
         Loop loop = new Loop();
         Phase phase = new Phase();
         Counters counters = new Counters();
+        Thread stop = null;
         try {
             Front front;
             String console;
@@ -47,6 +48,9 @@
                 console = config.console();
                 second = config.mgmt();
             }
+            // before the first connection is taken: a stop that came in between would end the program over its query
+            stop = new Thread(() -> stop(front, phase, counters), "stop");
+            Runtime.getRuntime().addShutdownHook(stop);
             Mgmt mgmt = new Mgmt(loop);
             if (!second.isBlank()) {
                 mgmt.listen(second); // before clients find the door open: one that is taken ends the program
@@ -57,14 +61,26 @@
                 new Control(loop, counters, front, operations).listen(console);
             }
             hangUp.then(front::reload);
-            Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(front, phase, counters), "stop"));
             loop.execute(() -> mgmt.serves(operations)); // whoever hears yes may send any signal
         } catch (BadInput | IOException e) {
+            forget(stop);
+            phase.moveTo(State.ENDED);
             loop.stop();
             throw e;
         }
     }
 
+    /** A start that has failed has nothing to bring to an end. */
+    private static void forget(Thread stop) {
+        try {
+            if (stop != null) {
+                Runtime.getRuntime().removeShutdownHook(stop);
+            }
+        } catch (IllegalStateException e) {
+            // the program is on its way out already
+        }
+    }
+
     /** Runs when the process is told to end, which the JVM puts off until this returns. */
     private static void stop(Front front, Phase phase, Counters counters) {
         front.leave();
--- a/src/test/java/damsonslip/platform/PlatformTest.java
+++ b/src/test/java/damsonslip/platform/PlatformTest.java
@@ -33,6 +33,7 @@
                 Message answer = client.send(query(id, "submit", "4000m")).message();
                 assertEquals(200, answer.status());
                 assertEquals("r-" + id, answer.body());
+                Thread.sleep(150); // a link has to rest before it carries what must run once
             }
         }
         Message job = got.get("a").get(0);
--- /dev/null
+++ b/src/test/java/damsonslip/platform/StrayAnswersTest.java
@@ -0,0 +1,149 @@
+package damsonslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.Peer;
+import damsonslip.kit.Peer.Message;
+import damsonslip.kit.Program;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** What workers send that nobody asked for: a second answer, half a line, an answer without end. */
+class StrayAnswersTest extends PlatformStage {
+    private static final String TURNED_AWAY = "HTTP/1.1 503 No\r\nX-Unprocessed: 1\r\nContent-Length: 0\r\n\r\n";
+
+    private static final long LATE_NS = 90_000_000;
+
+    private final List<Message> ran = new CopyOnWriteArrayList<>();
+
+    /** An answer of this one line, whole, in as many bytes as one write takes. */
+    private static String answer(String line) {
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(line.length() + 1) + "\r\n"
+            + line + "\n\r\n0\r\n\r\n";
+    }
+
+    private static String done(Message job) {
+        return answer(state(job, "done", ",\"result\":\"r-" + job.field("X-Correlation-Id") + "\",\"load\":{\"x0\":3}"));
+    }
+
+    /** With the link kept, and kept twice over, two queries would share it and one of them would never be answered. */
+    @Test
+    void aLinkOnWhichASecondAnswerCameServesNobodyAnyMore() throws Exception {
+        CountDownLatch both = new CountDownLatch(2);
+        start(worker("a", (peer, job) -> {
+            if (job.field("X-Correlation-Id").equals("q1")) {
+                peer.send(done(job) + answer(state(job, "done", ",\"result\":\"again\"")));
+            } else {
+                both.countDown();
+                assertTrue(both.await(3, TimeUnit.SECONDS), "each has a link of its own");
+                peer.send(done(job));
+            }
+        }));
+        assertEquals("r-q1", ask(query("q1", "read", "2000m")).body());
+        try (Peer one = Peer.connect(port).send(query("q2", "read", "4000m"));
+             Peer other = Peer.connect(port).send(query("q3", "read", "4000m"))) {
+            assertEquals("r-q2", one.message().body());
+            assertEquals("r-q3", other.message().body());
+        }
+        assertEquals(3, servers.get(1).connections());
+        assertEquals(3, jobs("a"));
+    }
+
+    /** It would tell that the second query never ran, and have it run twice. */
+    @Test
+    void aLateTurningAwayProvesNothingOfTheNextQuery() throws Exception {
+        start(worker("a", withALateTurningAway()), worker("b", withALateTurningAway()));
+        for (int i = 1; i < 12; i++) {
+            assertEquals("r-q" + i, ask(query("q" + i, "submit", "2000m")).body(), "it is worth a link of its own");
+        }
+        assertEquals(11, jobs("a", "b") + ran.size(), "each ran once");
+    }
+
+    /** A class that may be repeated takes the kept link; what it hears there does it no harm. */
+    @Test
+    void aLateTurningAwayCostsARepeatableQueryNothing() throws Exception {
+        start(worker("a", withALateTurningAway()), worker("b", withALateTurningAway()));
+        for (int i = 1; i < 8; i++) {
+            assertEquals("r-q" + i, ask(query("q" + i, "read", "3000m")).body());
+        }
+        assertTrue(!ran.isEmpty(), "links were used again");
+    }
+
+    /** What comes on a connection soon after an answer is met by a second one, late by some milliseconds, and runs. */
+    private Work withALateTurningAway() {
+        return (peer, job) -> {
+            Message next = job;
+            long answered;
+            do {
+                peer.send(done(next));
+                answered = System.nanoTime();
+                next = peer.message();
+                ran.add(next);
+            } while (System.nanoTime() - answered > LATE_NS);
+            peer.send(TURNED_AWAY);
+            throw new IOException("the connection is over");
+        };
+    }
+
+    /** The line and the answer's end come in one read: closed over the one, the link must not be kept by the other. */
+    @Test
+    void aLinkThatWasClosedOverALineIsNotKeptByTheAnswersEnd() throws Exception {
+        start(worker("a", (peer, job) -> peer.send(job.field("X-Correlation-Id").startsWith("bad")
+            ? answer("nonsense") : done(job))));
+        for (int i = 0; i < 3; i++) {
+            assertEquals(502, ask(query("bad" + i, "submit", "1500m")).status());
+            Thread.sleep(600); // until the worker's pause is over
+            assertEquals(200, ask(query("good" + i, "submit", "1500m")).status());
+        }
+        assertTrue(program.said().contains("no job's state"), program.said());
+        program.terminate();
+        program.exit();
+        assertTrue(!program.said().contains("executions_timed_out"), program.said());
+    }
+
+    /** Half a line on a resting link: the next query must not be answered with the rest of it. */
+    @Test
+    void aLinkOnWhichHalfALineCameIsLeft() throws Exception {
+        CountDownLatch said = new CountDownLatch(1);
+        start(worker("a", (peer, job) -> {
+            peer.send(done(job));
+            if (job.field("X-Correlation-Id").equals("q1")) {
+                Thread.sleep(150);
+                peer.send("HTTP/1.1 200 OK\r\nTransfer-Enc");
+                said.countDown();
+            }
+        }));
+        assertEquals("r-q1", ask(query("q1", "submit", "2000m")).body());
+        assertTrue(said.await(5, TimeUnit.SECONDS));
+        assertEquals("r-q2", ask(query("q2", "submit", "2000m")).body());
+        assertEquals(2, jobs("a"));
+    }
+
+    /** The query is served by its last line; the rest would be read for ever, and fill a place for good. */
+    @Test
+    void anAnswerWithoutEndIsLeftOnceItsLastLineHasCome() throws Exception {
+        AtomicInteger ended = new AtomicInteger();
+        start(worker("a", (peer, job) -> {
+            peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            String done = state(job, "done", ",\"result\":\"r\",\"load\":{\"x0\":3}");
+            try {
+                for (int i = 0; i < 10_000; i++) {
+                    peer.chunk(done);
+                    Thread.sleep(2);
+                }
+            } finally {
+                ended.incrementAndGet();
+            }
+        }));
+        for (String id : List.of("q1", "q2")) {
+            assertEquals("r", ask(query(id, "submit", "2000m")).body());
+        }
+        Program.await("both connections are ended", () -> ended.get() == 2);
+    }
+}
