Test late dials, departures, stops and lists at the moments that broke rules before

Dials come up late by a full accept queue, which the system answers at the next try a second later (kit.LateServer).

--- a/src/test/java/damsonslip/kit/Peer.java
+++ b/src/test/java/damsonslip/kit/Peer.java
@@ -91,7 +91,7 @@
     private final Socket socket;
     private final InputStream in;
 
-    private Peer(Socket socket) throws IOException {
+    Peer(Socket socket) throws IOException {
         this.socket = socket;
         socket.setTcpNoDelay(true);
         this.in = new BufferedInputStream(socket.getInputStream());
--- /dev/null
+++ b/src/test/java/damsonslip/platform/DeparturesTest.java
@@ -0,0 +1,119 @@
+package damsonslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.Peer;
+import damsonslip.kit.Program;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Clients that leave, and connections that end while something comes on them. */
+class DeparturesTest extends PlatformStage {
+    /** Queries sent ahead: none, about one buffer of them, and several. */
+    private static String ahead(String id, int count) {
+        StringBuilder text = new StringBuilder(query(id, "read", "4000m"));
+        for (int i = 0; i < count; i++) {
+            text.append(query(id + "-" + i, "read", "4000m"));
+        }
+        return text.toString();
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 40, 200})
+    void aClientThatLeavesBehindWhatItSentAheadTakesItsExecutionAlong(int ahead) throws Exception {
+        List<Long> ended = new CopyOnWriteArrayList<>();
+        start(worker("a", (peer, job) -> {
+            if (peer.closed()) {
+                ended.add(System.nanoTime());
+            }
+        }));
+        Peer client = Peer.connect(port).send(ahead("q1", ahead));
+        Program.await("the job is sent", () -> jobs("a") == 1);
+        Thread.sleep(100);
+        long left = System.nanoTime();
+        client.close();
+        Program.await("its link is closed", () -> !ended.isEmpty());
+        assertTrue(ended.get(0) - left < 1_000_000_000L, "long before its deadline");
+        Thread.sleep(300);
+        assertEquals(1, jobs("a"), "and nothing of what was sent ahead is sent on");
+    }
+
+    /** A burst of them waits for a worker that is full, leaves, and the worker has room again. */
+    @ParameterizedTest
+    @ValueSource(ints = {0, 40})
+    void whoLeavesWhileItWaitsIsNotSentOn(int ahead) throws Exception {
+        CountDownLatch free = new CountDownLatch(1);
+        start(worker("a", (peer, job) -> {
+            free.await();
+            SERVE.on(peer, job);
+        }));
+        List<Peer> clients = new ArrayList<>();
+        for (int i = 0; i < 30; i++) {
+            clients.add(Peer.connect(port).send(ahead("q" + i, ahead)));
+        }
+        Program.await("some are sent", () -> jobs("a") > 0);
+        Thread.sleep(150);
+        int sent = jobs("a");
+        assertTrue(sent < 20, sent + " are sent, the others wait");
+        for (Peer client : clients) {
+            client.close();
+        }
+        Thread.sleep(250);
+        free.countDown();
+        Thread.sleep(500);
+        assertEquals(sent, jobs("a"));
+        assertEquals(200, ask(query("last", "read", "2000m")).status());
+    }
+
+    /** Whoever sends further ahead than one can keep an eye on is told so. */
+    @Test
+    void whoSendsFarAheadOfItsAnswerIsRefused() throws Exception {
+        start(worker("a", SAY_NOTHING));
+        try (Peer client = Peer.connect(port).send(ahead("q1", 600))) {
+            assertEquals(400, client.message().status());
+            assertTrue(client.ended());
+        }
+    }
+
+    /**
+     * A kept connection is ended by a stop, and a query crosses that: a close would have reset it, and what was written
+     * before could go with it. It is not sent on either.
+     */
+    @Test
+    void whatCrossesTheEndOfAConnectionNeitherResetsItNorIsServed() throws Exception {
+        start(worker("a", SERVE));
+        try (Peer client = Peer.connect(port).send(query("q1", "submit", "2000m"))) {
+            assertEquals("r-q1", client.message().body());
+            program.terminate();
+            assertTrue(client.ended(), "it is asked to go");
+            client.send(query("q2", "submit", "2000m"));
+            Thread.sleep(150);
+            client.send("and more");
+            assertTrue(client.ended(), "no reset");
+        }
+        assertEquals(143, program.exit());
+        assertEquals(1, jobs("a"));
+    }
+
+    /** One that said nothing is ended the same way. */
+    @Test
+    void whatCrossesTheEndOfASilentConnectionDoesNotResetIt() throws Exception {
+        start(worker("a", SERVE));
+        try (Peer client = Peer.connect(port)) {
+            assertTrue(client.ended(), "after two seconds");
+            client.send(query("q1", "submit", "2000m"));
+            Thread.sleep(150);
+            client.send("and more");
+            assertTrue(client.ended(), "no reset");
+        }
+        assertEquals(0, jobs("a"));
+        assertFalse(program.said().contains("Exception"), program.said());
+    }
+}
--- a/src/test/java/damsonslip/platform/DiscoveryTroubleTest.java
+++ b/src/test/java/damsonslip/platform/DiscoveryTroubleTest.java
@@ -9,6 +9,7 @@
 import damsonslip.kit.Program;
 import java.io.IOException;
 import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -206,4 +207,58 @@
         program.awaitWord("it trickles");
         Program.await("the next call brings the news", () -> served("b"));
     }
+
+    /** The same list laid out for people, in many parts; a line of it is no list. */
+    @Test
+    void aListOverManyLinesAndReadsCountsAsOne() throws Exception {
+        String b = worker("b", SERVE);
+        String laidOut = list(9, true, b).replace(",", ",\n    ").replace("{", "{\n  ").replace("}", "\n}");
+        discovery = new Peer.Server(0, peer -> {
+            calls.incrementAndGet();
+            peer.message();
+            peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for (int at = 0; at < laidOut.length(); at += 9) {
+                String part = laidOut.substring(at, Math.min(at + 9, laidOut.length()));
+                peer.send(Integer.toHexString(part.length()) + "\r\n" + part + "\r\n");
+                Thread.sleep(1);
+            }
+            for (int i = 0; i < 30; i++) {
+                peer.chunk("");
+                Thread.sleep(1_000);
+            }
+        });
+        servers.add(discovery);
+        start(worker("a", SERVE));
+        Program.await("the list counts", () -> served("b"));
+        assertEquals(1, calls.get());
+        assertTrue(!program.said().contains("is over"), program.said());
+    }
+
+    /** What the agent has counts as told from the first moment: no query may meet the list from before the start. */
+    @Test
+    void whereListsArePushedTheFirstOneCountsBeforeTheDoorOpens() throws Exception {
+        String a = worker("a", SERVE);
+        String b = worker("b", SERVE);
+        String c = worker("c", SERVE);
+        discovery = new Peer.Server(0, peer -> {
+            calls.incrementAndGet();
+            peer.message();
+            Thread.sleep(150);
+            peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            peer.chunk(list(9, true, a.replace("ready", "draining"), b));
+            Thread.sleep(200);
+            peer.chunk(list(10, false, c, b.replace("ready", "draining")));
+        });
+        servers.add(discovery);
+        Path file = config(list(7, true, a));
+        Files.writeString(file, Files.readString(file).replace("on_request", "pushed"));
+        program = new Program(file, "serve").awaitWord("listens on");
+        for (int i = 0; i < 5; i++) {
+            assertEquals(200, ask(query("q" + i, "submit", "2000m")).status());
+        }
+        Program.await("changes are pushed as well", () -> served("c"));
+        assertEquals(0, jobs("a"));
+        int before = calls.get();
+        Program.await("a watch that has ended is opened anew at once", () -> calls.get() > before + 2);
+    }
 }
--- /dev/null
+++ b/src/test/java/damsonslip/platform/LateDialsTest.java
@@ -0,0 +1,149 @@
+package damsonslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.LateServer;
+import damsonslip.kit.Peer;
+import damsonslip.kit.Peer.Message;
+import damsonslip.kit.Program;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Connections that come up a second after they were dialled: what was decided then may hold no longer. */
+class LateDialsTest extends PlatformStage {
+    private static final long WELL_AFTER_MS = 1_800;
+
+    private final List<Message> late = new CopyOnWriteArrayList<>();
+
+    private Path patient(String known) throws IOException {
+        Path file = config(known);
+        return Files.writeString(file, Files.readString(file).replace("\"dial_timeout_s\":0.25", "\"dial_timeout_s\":5"));
+    }
+
+    private static void replace(Path file, String one, String other) throws IOException {
+        Files.writeString(file, Files.readString(file).replace(one, other));
+    }
+
+    private void serve(LateServer server) throws IOException {
+        server.open(peer -> {
+            while (true) {
+                Message job = peer.message();
+                late.add(job);
+                SERVE.on(peer, job);
+            }
+        });
+    }
+
+    /** Without cancelling nothing else keeps it back. */
+    @Test
+    void aQueryWhoseClientLeavesDuringTheDialIsNotSent() throws Exception {
+        try (LateServer worker = new LateServer()) {
+            Path file = patient(list(7, true, entry("a", worker.port(), "ready")));
+            replace(file, "\"may_cancel\":true", "\"may_cancel\":false");
+            program = new Program(file, "serve").awaitWord("listens on");
+            Peer client = Peer.connect(port).send(query("q1", "submit", "4000m"));
+            Thread.sleep(200);
+            client.close();
+            Thread.sleep(100);
+            serve(worker);
+            Program.await("the dial comes up", () -> worker.connections() == 1);
+            Thread.sleep(200);
+            assertEquals(List.of(), late);
+            assertEquals("r-q2", ask(query("q2", "submit", "2000m")).body(), "what came up is of use");
+        }
+    }
+
+    /** The first one may have run; a second one that comes after the window would not be known for a repeat. */
+    @Test
+    void aRepeatWhoseWindowHasPassedDuringTheDialIsNotSent() throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        try (LateServer worker = new LateServer()) {
+            worker.open(1, peer -> {
+                late.add(peer.message());
+                worker.hold();
+                held.countDown();
+                peer.close();
+            });
+            Path file = patient(list(7, true, entry("a", worker.port(), "ready")));
+            replace(file, "\"semantics\":\"once\"", "\"semantics\":\"by_key\",\"dedup_scope\":\"all\",\"window_s\":1.0");
+            program = new Program(file, "serve").awaitWord("listens on");
+            try (Peer client = Peer.connect(port).send(query("q1", "submit", "4000m"))) {
+                assertTrue(held.await(5, TimeUnit.SECONDS));
+                Thread.sleep(700); // it is dialled anew within 0.4 s
+                serve(worker);
+                assertTrue(client.message().status() >= 500);
+            }
+            Program.await("the second dial comes up", () -> worker.connections() == 2);
+            Thread.sleep(200);
+            assertEquals(1, late.size(), "it was sent once");
+        }
+    }
+
+    /** The old watch ends, discovery moves, and the module asks for a watch while the new one is being dialled. */
+    @Test
+    void aWatchThatIsBeingDialledIsNotDialledAgain() throws Exception {
+        List<String> asked = new CopyOnWriteArrayList<>();
+        try (LateServer next = new LateServer()) {
+            program = new Program(patient(list(7, true, worker("a", SERVE))), "serve").awaitWord("listens on");
+            Program.await("a watch", () -> watches.size() == 1);
+            discovery.close();
+            program.awaitWord("the watch on discovery is over");
+            program.reload(moved(next.port()));
+            program.awaitWord("reload: discovery is at");
+            Thread.sleep(800); // the module asks within 0.6 s
+            next.open(peer -> {
+                asked.add(peer.message().first());
+                peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").chunk(list(3, true, worker("b", SERVE)));
+                Thread.sleep(30_000);
+            });
+            Program.await("the new watch", () -> asked.size() == 1);
+            Thread.sleep(WELL_AFTER_MS);
+            assertEquals(1, next.connections(), "one call to discovery: " + asked);
+        }
+    }
+
+    private String moved(int to) throws IOException {
+        return Files.readString(patient(list(7, true))).replace(
+            "\"discovery\":\"127.0.0.1:" + discovery.port() + "\"", "\"discovery\":\"127.0.0.1:" + to + "\"");
+    }
+
+    /** The old one's count says nothing of the new one's, also where it goes on while the new one is being dialled. */
+    @Test
+    void aListFromTheOldAddressDoesNotCountForWhatTheNewOneIsAsked() throws Exception {
+        List<String> asked = new CopyOnWriteArrayList<>();
+        try (LateServer next = new LateServer()) {
+            program = new Program(patient(list(7, true, worker("a", SERVE))), "serve").awaitWord("listens on");
+            Program.await("a watch", () -> watches.size() == 1);
+            program.reload(moved(next.port()));
+            program.awaitWord("reload: discovery is at");
+            news.add(list(50, false, worker("c", SERVE)));
+            Program.await("the old one still counts", () -> served("c"));
+            next.open(peer -> {
+                asked.add(peer.message().first());
+                peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").chunk(list(3, true, worker("b", SERVE)));
+                Thread.sleep(30_000);
+            });
+            Program.await("the new watch", () -> asked.size() == 1);
+            assertTrue(asked.get(0).contains("after=0 "), asked.get(0));
+            Program.await("its list counts", () -> served("b"));
+        }
+    }
+
+    private boolean served(String worker) {
+        try {
+            for (String lane : List.of("read", "submit")) { // each class has a worker of its own
+                assertEquals(200, ask(query("n" + System.nanoTime(), lane, "2000m")).status());
+            }
+            return jobs(worker) > 0;
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+}
