End old goodbyes so that a crowd of callers cannot fill the room with them

Seen: DailyRunningTest.whatIsNoCallGetsANoAndHoldersKeepNobodyWaiting failed twice of two: beside 60 callers that say nothing a READY was closed unanswered. Since Room.opened sends the least missed away with a goodbye of half a second instead of a close; each arrival ended one goodbye or began one, not both, so that every second arrival stayed, up to the 36 that may be held, and admit() turned back the next. Ruled out: the second address itself (unchanged). Now goodbyes have half of the overflow for themselves, the oldest beyond that are ended, and whoever stays is counted without them. The test passes, and with it Room, slow peers, departures, stops.

--- a/src/main/java/damsonslip/net/Link.java
+++ b/src/main/java/damsonslip/net/Link.java
@@ -114,11 +114,11 @@
     }
 
     /**
-     * Ends the connection in good order, or at once if the goodbye has been said. Guards what was written last: bytes that
+     * Ends the connection in good order, or at once if it was to end already. Guards what was written last: bytes that
      * come in the moment of a close would have the system reset the connection, and take that along.
      */
     final void makeWay() {
-        if (parting) {
+        if (closeWhenWritten) { // it has been asked before
             end();
         } else {
             endWhenWritten();
--- a/src/main/java/damsonslip/net/Room.java
+++ b/src/main/java/damsonslip/net/Room.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
@@ -53,12 +54,18 @@
         held.decrementAndGet();
     }
 
-    /** Takes it in; if all others are needed, it is the one that goes. */
+    /**
+     * Takes it in; if all others are needed, it is the one that goes. Who says goodbye holds half of the overflow at the
+     * most. Guards against a crowd that never closes its side: its goodbyes would fill all the room there is.
+     */
     public void opened(L link) {
         open.add(link);
-        if (open.size() > most) {
-            open.stream().filter(other -> other != link).filter(other -> other.isParting() || mayGo.test(other))
-                .min(Comparator.comparing((L other) -> !other.isParting()).thenComparing(missed)).orElse(link).makeWay();
+        List<L> parting = open.stream().filter(Link::isParting).toList();
+        int staying = open.size() - parting.size();
+        parting.stream().limit(Math.max(0, parting.size() - overflow / 2)).forEach(Link::end);
+        if (staying > most) {
+            open.stream().filter(other -> other != link && !other.isParting()).filter(mayGo).min(missed).orElse(link)
+                .makeWay();
         }
     }
 
