--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -195,8 +195,8 @@
             return exchange;
         }
         exchanges.put(query.id(), exchange);
-        tell(new JobArrived(query.id(), query.jobClass(), 0, query.subject(), query.deadlineUs(), query.slots(),
-            query.memory(), query.mostRuns(), query.fits()));
+        tell(new JobArrived(query.id(), query.jobClass(), query.tenant(), query.subject(), query.deadlineUs(),
+            query.slots(), query.memory(), query.mostRuns(), query.fits()));
         return exchange;
     }
 
--- a/src/main/java/damsonslip/core/Query.java
+++ b/src/main/java/damsonslip/core/Query.java
@@ -7,6 +7,7 @@
  *
  * @param id         the client's id of it, which no other open query has
  * @param jobClass   the index of its class
+ * @param tenant     the index of who it is for; 0 where there are no tenants
  * @param deadlineUs when the client gives up, on the {@link Loop}'s clock
  * @param slots      the slots that it takes at a worker
  * @param memory     the units of memory that it takes
@@ -15,7 +16,7 @@
  * @param fits       which workers can take it at all, by id; or null if each can
  * @param cargo      what the front passes on to a worker; the core does not look into it
  */
-public record Query(String id, int jobClass, long deadlineUs, int slots, double memory, Long subject,
+public record Query(String id, int jobClass, int tenant, long deadlineUs, int slots, double memory, Long subject,
                     int mostRuns, Predicate<String> fits, Cargo cargo) {
     /** A front's own form of a query's content. */
     public interface Cargo { }
--- a/src/main/java/damsonslip/faktory/Desk.java
+++ b/src/main/java/damsonslip/faktory/Desk.java
@@ -236,7 +236,7 @@
             offered.add(handover);
         }
         String[] refused = new String[1];
-        handover.exchange = driver.take(new Query(record.id(), entry.jobClass(), deadlineMs * 1000,
+        handover.exchange = driver.take(new Query(record.id(), entry.jobClass(), 0, deadlineMs * 1000,
             record.facts().slots(), 0, null, mostRuns,
             worker -> !ledger.paused(queue) && fetchers.fetches(worker, queue), handover),
             answer -> refused[0] = answered(handover, answer));
--- a/src/main/java/damsonslip/platform/clients/ClientLink.java
+++ b/src/main/java/damsonslip/platform/clients/ClientLink.java
@@ -170,7 +170,7 @@
                 reply(200, answer.result(), fields);
             }
             case THROTTLED -> {
-                if (answer.retryAfterUs() > 0) {
+                if (answer.retryAfterUs() > 0 && side.site().retryAfter()) {
                     fields.add("Retry-After", String.format(Locale.ROOT, "%.3f", answer.retryAfterUs() / 1e6));
                 }
                 reply(503, "throttled", fields);
--- a/src/main/java/damsonslip/platform/clients/QueryHead.java
+++ b/src/main/java/damsonslip/platform/clients/QueryHead.java
@@ -50,6 +50,18 @@
         return value;
     }
 
+    /** Who it is for, by the names that the settings give; where these have none, nobody in particular. */
+    private int tenant(Site site) throws Bad {
+        if (site.tenantNames().isEmpty()) {
+            return 0;
+        }
+        int tenant = site.tenantNames().indexOf(needed(Field.TENANT));
+        if (tenant < 0) {
+            throw new Bad(400, "unknown account: " + field(Field.TENANT));
+        }
+        return tenant;
+    }
+
     /** The query that this message asks, taken in now; its time is cut where no more is left. */
     Query query(Site site, long nowUs, long mostLeftUs) throws Bad {
         String id = needed(Field.ID);
@@ -57,6 +69,7 @@
         if (jobClass < 0) {
             throw new Bad(400, "unknown class: " + field(Field.CLASS));
         }
+        int tenant = tenant(site);
         int slots = 1;
         double memory = 0;
         long timeLeft;
@@ -77,6 +90,6 @@
         }
         HttpForward forward = new HttpForward(method, target, field(Field.KEY), field("Content-Type"), body);
         long deadline = nowUs + Math.min(timeLeft, mostLeftUs);
-        return new Query(id, jobClass, deadline, slots, memory, null, Integer.MAX_VALUE, null, forward);
+        return new Query(id, jobClass, tenant, deadline, slots, memory, null, Integer.MAX_VALUE, null, forward);
     }
 }
--- a/src/main/java/damsonslip/platform/clients/QueryReader.java
+++ b/src/main/java/damsonslip/platform/clients/QueryReader.java
@@ -24,7 +24,8 @@
     private static final List<String> METHODS = Arrays.stream(HttpMethod.values()).map(m -> m.asString() + " ").toList();
     private static final int LONGEST_METHOD = METHODS.stream().mapToInt(String::length).max().orElseThrow();
     /** Fields that mean something here; a message that has one of them twice says two things at once. */
-    private static final Set<String> SINGLE = Stream.of(Field.ID, Field.CLASS, Field.TIME_LEFT, Field.KEY, Field.FACTS)
+    private static final Set<String> SINGLE = Stream
+        .of(Field.ID, Field.CLASS, Field.TENANT, Field.TIME_LEFT, Field.KEY, Field.FACTS)
         .map(name -> name.toLowerCase(Locale.ROOT)).collect(Collectors.toUnmodifiableSet());
 
     private final HttpParser parser = new HttpParser(this, Field.MOST_HEADERS);
--- a/src/main/java/damsonslip/platform/http/Field.java
+++ b/src/main/java/damsonslip/platform/http/Field.java
@@ -7,6 +7,7 @@
 public final class Field {
     public static final String ID = "X-Correlation-Id";
     public static final String CLASS = "X-Service-Class";
+    public static final String TENANT = "X-Account";
     public static final String TIME_LEFT = "X-Time-Left";
     public static final String FACTS = "X-Facts";
     public static final String KEY = "Idempotency-Key";
--- a/src/test/java/damsonslip/kit/Peer.java
+++ b/src/test/java/damsonslip/kit/Peer.java
@@ -155,6 +155,19 @@
         }
     }
 
+    /** Whether nothing comes for so long. */
+    public boolean silent(int millis) throws IOException {
+        socket.setSoTimeout(millis);
+        try {
+            in.mark(1);
+            in.read();
+            in.reset();
+            return false;
+        } catch (SocketTimeoutException e) {
+            return true;
+        }
+    }
+
     /** Answers a job as a worker does: each line in a chunk of its own. */
     public Peer answerLines(String... lines) throws IOException {
         send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
