Bound moves by a budget of three in a hundred jobs, since what is called off may run on

There a worker does not stop work that is called off. Lines: Rules.move, which nothing bounded. LargeFleetTest: 400 jobs whose workers all have a queue are moved 15 times at the most; without the budget far more often.

--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -33,6 +33,10 @@
     private static final double OTHERS_US = 500e3;
     /** A job that may be repeated is looked at this long after it was sent: has it started? */
     private static final long MOVE_US = 100_000;
+    /** Each job sent allows this many moves: what is called off may run on all the same, as load on top. */
+    private static final double MOVES_A_JOB = 0.03;
+    /** So many may be saved up, for a worker that falls silent. */
+    private static final double MOST_MOVES = 3;
     /** A worker counts as having room down to this many free slots: guesses are fractions. */
     private static final double ROOM = 0.5;
     /** A worker of the own zone counts as having this many more free slots. */
@@ -116,7 +120,7 @@
     private final Free[] freeAnywhere = {new Free(), new Free()};
     private List<Worker> probeRound = List.of();
     private List<Action> actions;
-    private double busier = 1, all, measured, probeAllowance;
+    private double busier = 1, all, measured, probeAllowance, movesLeft = 1;
     private long now = Long.MIN_VALUE, orders, dealtAt, quotaAt, loggedAt;
     private boolean started, sweeping, subjects = true;
     private int probeNext, listFailures, borrowed, moved, beyondQuota, turnedAway;
@@ -560,31 +564,23 @@
         }
         pool.hold.addAll(passed);
         pool.full = !passed.isEmpty();
-        keepSweeping();
-    }
-
-    private double waited(Job job) {
-        return now - job.arrived;
-    }
-
-    private boolean pressed(Job job) {
-        return waited(job) > LATE * slack(pools[job.ask.jobClass()]);
-    }
-
-    private void keepSweeping() {
-        if (!sweeping && Arrays.stream(pools).anyMatch(pool -> !pool.hold.isEmpty())) {
+        if (!sweeping && Arrays.stream(pools).anyMatch(p -> !p.hold.isEmpty())) {
             sweeping = true;
             timer(SWEEP_US, SWEEP);
         }
     }
 
+    private boolean pressed(Job job) {
+        return now - job.arrived > LATE * slack(pools[job.ask.jobClass()]);
+    }
+
     private Worker place(Pool pool, Job job) {
         if (job.risk != null && grouped(pool)) {
             return chooseInGroup(pool, job);
         }
         boolean anywhere = job.ask.subject() == null;
         double patience = anywhere ? BORROW_AFTER * (aim(pool) - pool.time) : LATE * slack(pool);
-        boolean waited = waited(job) >= patience;
+        boolean waited = now - job.arrived >= patience;
         Worker w = choose(pool, job, waited);
         return w == null && waited ? borrow(pool, job) : w;
     }
@@ -741,6 +737,7 @@
         w.sentMemory += job.ask.memory();
         spendCold(w, cost(job));
         actions.add(new Send(job.ask.job(), w.id, 0));
+        movesLeft = Math.min(MOST_MOVES, movesLeft + MOVES_A_JOB);
         if (settings.tellsStart() && settings.limits().mayCancel() && job.ask.subject() == null
             && pools[job.ask.jobClass()].of.effect() != Effect.UNSAFE) {
             timer(MOVE_US, STARTED + job.ask.job());
@@ -758,11 +755,12 @@
             return;
         }
         Pool pool = pools[job.ask.jobClass()];
-        boolean again = mayRepeat(job, job.risk == null ? a : job.risk);
+        boolean again = movesLeft >= 1 && mayRepeat(job, job.risk == null ? a : job.risk);
         if (again && workers.values().stream().anyMatch(w -> w != a.worker && mayTake(w, job)
             && free(w) >= job.ask.slots() && (!grouped(pool) || sameGroup(pool, w, a.worker)))) {
             strike(a.worker, true);
             moved++;
+            movesLeft--;
             actions.add(new Cancel(job.ask.job(), job.attempts.size() - 1));
         } else {
             timer(MOVE_US, STARTED + job.ask.job());
--- a/src/test/java/damsonslip/LargeFleetTest.java
+++ b/src/test/java/damsonslip/LargeFleetTest.java
@@ -153,6 +153,30 @@
         assertTrue(free(script) < before - 0.5, "from " + before + " to " + free(script));
     }
 
+    /**
+     * Every worker has a queue, and whatever is sent starts after 150 ms. Guards against moving all of it: where workers
+     * run on what was called off, the moves themselves are the load that keeps the queues up.
+     */
+    @Test
+    void jobsAreMovedWithinABudgetWhateverDoesNotStart() {
+        Script script = new Script(settings(14, 0, SAFE)).workers(8);
+        int moves = 0;
+        for (int i = 0; i < 400; i++) {
+            String job = "j" + i;
+            script.job(job);
+            int attempt = Script.only(script.pass(150_000), Dispatch.Cancel.class).size();
+            moves += attempt;
+            for (int n = 0; n < attempt; n++) {
+                script.ended(job, n, Outcome.CANCELLED);
+            }
+            script.started(job, attempt);
+            script.pass(50_000);
+            script.ended(job, attempt, Outcome.SERVED);
+        }
+        assertTrue(moves >= 5, "some, or nobody would find a worker that hangs: " + moves);
+        assertTrue(moves <= 15, "one at first, and 3 in 100 jobs: " + moves);
+    }
+
     /** Discovery fails for all at once, again and again: what they do next does not come in step. */
     @ParameterizedTest
     @ValueSource(ints = {14, 100})
