Let moves that start at once cost nothing of their budget; move long jobs later

So a move that starts within 100 ms gives its part of the budget back; jobs with a long slack are moved after an eighth of it.

--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -31,12 +31,13 @@
     private static final long START_US = 80_000;
     /** What others have at a worker is taken from the reports of about this long. */
     private static final double OTHERS_US = 500e3;
-    /** A job that may be repeated is looked at this long after it was sent: has it started? */
+    /** A job that may be repeated is looked at so long after it was sent, after this part of its slack. */
     private static final long MOVE_US = 100_000;
+    private static final double MOVE_PART = 0.12;
     /** Each job sent allows this many moves: what is called off may run on all the same, as load on top. */
-    private static final double MOVES_A_JOB = 0.03;
+    private static final double MOVES_A_JOB = 0.06;
     /** So many may be saved up, for a worker that falls silent. */
-    private static final double MOST_MOVES = 3;
+    private static final double MOST_MOVES = 5;
     /** A worker counts as having room down to this many free slots: guesses are fractions. */
     private static final double ROOM = 0.5;
     /** A worker of the own zone counts as having this many more free slots. */
@@ -73,8 +74,7 @@
     private static final double SPARE = 0.45;
     /**
      * What lies within quotas may exceed the share of K by this many square roots of it, or take a slot seen
-     * free. Guards against shares near one: alone, each would turn away half of what all together have room
-     * for.
+     * free. Guards against shares near one: alone, each would turn away half of what there is room for.
      */
     private static final double SWING = 2;
     /** A tenant may run ahead of its quota by this many seconds of it. */
@@ -166,6 +166,7 @@
             Attempt a = attempt(e.job(), e.attempt());
             if (a != null && a.started == 0) {
                 a.started = now;
+                movesLeft += e.attempt() > 0 && now - a.sent < MOVE_US ? 1 : 0;
             }
         } else if (event instanceof AttemptEnded e) {
             attemptEnded(e);
@@ -444,11 +445,6 @@
         return loads;
     }
 
-    /** The first by id of the zone that the pool has least of: each dispatcher finds some of it nearby. */
-    private static Worker next(List<Worker> rest, int[] zones) {
-        return Collections.min(rest, (one, other) -> zones[one.zone] - zones[other.zone]);
-    }
-
     /** n = floor(N rho / sum rho + 0.5) in sorted id order, the last class the rest, one worker at least. */
     private void dealKind(List<Worker> sorted, double[] loads, List<List<Worker>> members) {
         double sum = Arrays.stream(loads).sum();
@@ -466,7 +462,8 @@
             int[] zones = new int[settings.zones()];
             members.get(i).forEach(w -> zones[w.zone]++);
             for (int taken = 0; taken < n; taken++) {
-                Worker w = next(rest, zones);
+                // the first by id of the zone that the pool has least of: some of it is near each dispatcher
+                Worker w = Collections.min(rest, (one, other) -> zones[one.zone] - zones[other.zone]);
                 zones[w.zone]++;
                 rest.remove(w);
                 members.get(i).add(w);
@@ -740,17 +737,20 @@
         movesLeft = Math.min(MOST_MOVES, movesLeft + MOVES_A_JOB);
         if (settings.tellsStart() && settings.limits().mayCancel() && job.ask.subject() == null
             && pools[job.ask.jobClass()].of.effect() != Effect.UNSAFE) {
-            timer(MOVE_US, STARTED + job.ask.job());
+            timer(moveAfter(job), STARTED + job.ask.job());
         }
     }
 
+    private long moveAfter(Job job) {
+        return Math.max(MOVE_US, (long) (MOVE_PART * slack(pools[job.ask.jobClass()])));
+    }
+
     /**
-     * A job that has not started where it was sent goes where there is room, if it may be repeated. Guards
-     * against workers that take jobs and answer none, and against queues that no report has told of yet.
+     * What may be repeated and has not started goes where there is room; what starts there at once is free.
      */
     private void move(Job job) {
         Attempt a = job.attempts.get(job.attempts.size() - 1);
-        if (!a.open || a.started != 0 || job.outstanding != 1 || now - a.sent < MOVE_US
+        if (!a.open || a.started != 0 || job.outstanding != 1 || now - a.sent < moveAfter(job)
             || job.attempts.size() >= settings.limits().maxAttempts() || job.runs + 1 >= job.ask.mostRuns()) {
             return;
         }
