Move jobs only where most start at once, told by every job instead of by the moves

What tells whether a move is gain or load is known from every job: with queues everywhere few start within 100 ms. A job that does allows 0.3 moves, one that does not takes 0.4 back, five at the most.

--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -34,10 +34,8 @@
     /** A job that may be repeated is looked at so long after it was sent, after this part of its slack. */
     private static final long MOVE_US = 100_000;
     private static final double MOVE_PART = 0.12;
-    /** Each job sent allows this many moves: what is called off may run on all the same, as load on top. */
-    private static final double MOVES_A_JOB = 0.06;
-    /** So many may be saved up, for a worker that falls silent. */
-    private static final double MOST_MOVES = 5;
+    /** A job that starts at once allows so many moves, up to a few; one that does not takes back so many. */
+    private static final double MOVES_AT_ONCE = 0.3, MOVES_LATER = -0.4, MOST_MOVES = 5;
     /** A worker counts as having room down to this many free slots: guesses are fractions. */
     private static final double ROOM = 0.5;
     /** A worker of the own zone counts as having this many more free slots. */
@@ -166,7 +164,8 @@
             Attempt a = attempt(e.job(), e.attempt());
             if (a != null && a.started == 0) {
                 a.started = now;
-                movesLeft += e.attempt() > 0 && now - a.sent < MOVE_US ? 1 : 0;
+                movesLeft += now - a.sent < MOVE_US ? MOVES_AT_ONCE : MOVES_LATER;
+                movesLeft = Math.max(0, Math.min(MOST_MOVES, movesLeft));
             }
         } else if (event instanceof AttemptEnded e) {
             attemptEnded(e);
@@ -734,7 +733,6 @@
         w.sentMemory += job.ask.memory();
         spendCold(w, cost(job));
         actions.add(new Send(job.ask.job(), w.id, 0));
-        movesLeft = Math.min(MOST_MOVES, movesLeft + MOVES_A_JOB);
         if (settings.tellsStart() && settings.limits().mayCancel() && job.ask.subject() == null
             && pools[job.ask.jobClass()].of.effect() != Effect.UNSAFE) {
             timer(moveAfter(job), STARTED + job.ask.job());
@@ -746,7 +744,8 @@
     }
 
     /**
-     * What may be repeated and has not started goes where there is room; what starts there at once is free.
+     * What may be repeated and has not started goes where there is room. Guards against moving where few jobs
+     * start at once: queues are everywhere then, and where workers run on, each move is load on top.
      */
     private void move(Job job) {
         Attempt a = job.attempts.get(job.attempts.size() - 1);
