Lock a process's mark before it has its name, and refuse lists that come in an unknown way

Read in handover.Folder: between the making of a mark and its lock, another process's look (every 0.1 s) tries the same lock and holds it for that moment; tryLock then gave null, and the new process ended at its start. The mark is made and locked under another name now, and moved. SettingsReader took any registry_mode but on_request for pushed; another customer's unknown one ends the start now.

--- a/src/main/java/damsonslip/handover/Folder.java
+++ b/src/main/java/damsonslip/handover/Folder.java
@@ -58,10 +58,13 @@
                 }
             }
             mine[0] = 1 + numbers.stream().mapToInt(Integer::intValue).max().orElse(0);
-            made[0] = FileChannel.open(mark(mine[0]), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+            // its lock comes before its name, under which others look for it and would hold the lock for that moment
+            Path unnamed = path.resolve(MARK + "new");
+            made[0] = FileChannel.open(unnamed, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
             if (made[0].tryLock() == null) {
                 throw new IOException("the mark of this process is held by another");
             }
+            Files.move(unnamed, mark(mine[0]), StandardCopyOption.ATOMIC_MOVE);
         });
         number = mine[0];
         mark = made[0];
--- a/src/main/java/damsonslip/settings/SettingsReader.java
+++ b/src/main/java/damsonslip/settings/SettingsReader.java
@@ -24,7 +24,7 @@
                 integer(conf, "zone", 0), Math.max(1, conf.path("azs").size()),
                 Math.max(1, conf.path("shapes").size()), classes(conf), quotas(conf),
                 limits(conf), guarantees(conf.path("guarantees")), reporting(conf),
-                "on_request".equals(conf.path("registry_mode").asText()),
+                listOnRequest(conf.path("registry_mode")),
                 conf.path("specifics").path("tells_start").asBoolean(false), micros(conf, "tick_s", 0.001));
         } catch (IllegalArgumentException e) {
             throw new BadInput(e.getMessage());
@@ -77,6 +77,14 @@
             micros(figures, "cold_s", 0), number(figures, "fall_multiple", 1), micros(figures, "fall_s", 1));
     }
 
+    private static boolean listOnRequest(JsonNode mode) throws BadInput {
+        return switch (mode.asText("pushed")) {
+            case "on_request" -> true;
+            case "pushed" -> false;
+            default -> throw new BadInput("settings: registry_mode: " + mode);
+        };
+    }
+
     private static Reporting reporting(JsonNode conf) throws BadInput {
         String how = conf.path("reporting").path("how").asText("silent");
         return switch (how) {
--- a/src/test/java/damsonslip/platform/OtherSettingsTest.java
+++ b/src/test/java/damsonslip/platform/OtherSettingsTest.java
@@ -78,6 +78,17 @@
         assertEquals(1, jobs("a", "b"));
     }
 
+    /** A way to get the list that this program does not know cannot be guessed. */
+    @Test
+    void anUnknownWayToGetTheListEndsTheStart() throws Exception {
+        Path file = config(list(7, true));
+        Files.writeString(file, Files.readString(file).replace("on_request", "gossip"));
+        try (Program failing = new Program(file, "serve")) {
+            assertEquals(1, failing.exit());
+            assertEquals("damsonslip: settings: registry_mode: \"gossip\"", failing.said().strip());
+        }
+    }
+
     /** Where clients do not take advice none is given. */
     @Test
     void whenToComeBackIsToldWhereTheSettingsAllowIt() throws Exception {
