Call things by the field's names: AnswerListener, ConnectionDraining, lingering close

Asker, Parting and the link's parting hid the usual words: a listener for an answer, connection draining, and a lingering close.

--- a/src/main/java/damsonslip/core/Asker.java
+++ b/src/main/java/damsonslip/core/AnswerListener.java
@@ -1,7 +1,7 @@
 package damsonslip.core;
 
 /** The client side of one query: a port that a front implements. */
-public interface Asker {
+public interface AnswerListener {
     /** Takes the final answer; called once at the most, and never after the client has gone. */
     void answer(Answer answer);
 }
--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -175,7 +175,7 @@
     // ---- the client side
 
     /** Takes a query in, whose id {@link #holds} must not know. */
-    public Exchange take(Query query, Asker asker) {
+    public Exchange take(Query query, AnswerListener listener) {
         counters.add(Count.QUERIES_TAKEN);
         trace.taken(query);
         Exchange exchange = new Exchange(query, answer -> {
@@ -187,7 +187,7 @@
                 case THROTTLED -> Count.ANSWERS_THROTTLED;
                 case FAILED -> Count.ANSWERS_FAILED;
             });
-            asker.answer(answer);
+            listener.answer(answer);
         });
         open++;
         if (open > MOST_OPEN) {
--- a/src/main/java/damsonslip/core/Exchange.java
+++ b/src/main/java/damsonslip/core/Exchange.java
@@ -9,16 +9,16 @@
  */
 public final class Exchange {
     private final Query query;
-    private final Asker asker;
+    private final AnswerListener listener;
     final List<Execution> executions = new ArrayList<>(1);
     int outstanding;
     /** When repeats are last known for such, counted from the first execution that may have run. */
     long repeatsUntilUs = Long.MAX_VALUE;
     private boolean closed;
 
-    Exchange(Query query, Asker asker) {
+    Exchange(Query query, AnswerListener listener) {
         this.query = query;
-        this.asker = asker;
+        this.listener = listener;
     }
 
     public Query query() {
@@ -36,7 +36,7 @@
             return false;
         }
         closed = true;
-        asker.answer(answer);
+        listener.answer(answer);
         return true;
     }
 
--- a/src/main/java/damsonslip/parting/StopTimes.java
+++ b/src/main/java/damsonslip/draining/StopTimes.java
@@ -1,4 +1,4 @@
-package damsonslip.parting;
+package damsonslip.draining;
 
 /**
  * What happens when after a stop is told. The process may be killed once the longest deadline, or 3 s if that is shorter,
--- a/src/main/java/damsonslip/faktory/FaktoryLink.java
+++ b/src/main/java/damsonslip/faktory/FaktoryLink.java
@@ -119,7 +119,7 @@
 
     /** Lets the peer go if it keeps up no longer. Guards the room and the memory that it would hold for ever. */
     void judge(long nowUs) {
-        if (isClosed() || isParting()) {
+        if (isClosed() || isLingering()) {
             return;
         }
         if (reads.tooSlow(nowUs)) {
--- a/src/main/java/damsonslip/mgmt/MgmtLink.java
+++ b/src/main/java/damsonslip/mgmt/MgmtLink.java
@@ -69,7 +69,7 @@
 
     /** The order in which they go when there is no room: who is leaving anyway, then the oldest. */
     static int compareMissed(MgmtLink one, MgmtLink other) {
-        int leaves = Boolean.compare(other.isParting(), one.isParting());
+        int leaves = Boolean.compare(other.isLingering(), one.isLingering());
         return leaves != 0 ? leaves : Long.compare(one.openedUs, other.openedUs);
     }
 }
--- a/src/main/java/damsonslip/net/Link.java
+++ b/src/main/java/damsonslip/net/Link.java
@@ -20,7 +20,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Link.class);
     private static final int IN_BUFFER = 8 * 1024;
     /** How long a peer may take to close its side after the last answer. */
-    private static final long PARTING_US = 500_000;
+    private static final long LINGER_US = 500_000;
     /** So much of what still comes after the last answer is read and dropped; the rest stays with the system. */
     private static final int MOST_DROPPED = 128 * 1024;
 
@@ -49,7 +49,7 @@
     private ByteBuffer[] current = NOTHING;
     private boolean closed;
     private boolean closeWhenWritten;
-    private boolean parting;
+    private boolean lingering;
     private int dropped;
 
     protected Link(EndPoint endPoint, Loop loop) {
@@ -82,14 +82,14 @@
 
     /** Takes in what has come and was not read yet, so that a link is not ended over it. */
     protected final void look() {
-        if (!closed && !parting) {
+        if (!closed && !lingering) {
             read();
         }
     }
 
     /** Whether only the peer's goodbye is awaited. */
-    public final boolean isParting() {
-        return parting;
+    public final boolean isLingering() {
+        return lingering;
     }
 
     /** Closes the connection; nothing is told of it afterwards. */
@@ -109,7 +109,7 @@
     protected final void endWhenWritten() {
         closeWhenWritten = true;
         if (!writing) {
-            sayGoodbye();
+            linger();
         }
     }
 
@@ -125,11 +125,11 @@
         }
     }
 
-    private void sayGoodbye() {
-        if (!closed && !parting) {
-            parting = true;
+    private void linger() {
+        if (!closed && !lingering) {
+            lingering = true;
             getEndPoint().shutdownOutput();
-            loop.in(PARTING_US, this::end);
+            loop.in(LINGER_US, this::end);
             BufferUtil.clear(in);
             if (!isFillInterested()) {
                 read();
@@ -168,7 +168,7 @@
         Out next = out.poll();
         if (next == null) {
             if (closeWhenWritten) {
-                sayGoodbye();
+                linger();
             }
             return;
         }
@@ -243,7 +243,7 @@
 
     /** Shows the bytes that were left over once more. */
     protected final void again() {
-        if (!closed && !parting && !full && BufferUtil.hasContent(in)) {
+        if (!closed && !lingering && !full && BufferUtil.hasContent(in)) {
             received(in);
             taken();
         }
@@ -261,7 +261,7 @@
                     broken();
                     return;
                 }
-                if (parting) {
+                if (lingering) {
                     BufferUtil.clear(in);
                     dropped += got;
                     if (dropped > MOST_DROPPED) {
@@ -277,7 +277,7 @@
                     }
                     return;
                 }
-                if (!parting) {
+                if (!lingering) {
                     received(in);
                 }
                 taken();
--- a/src/main/java/damsonslip/net/Room.java
+++ b/src/main/java/damsonslip/net/Room.java
@@ -60,11 +60,11 @@
      */
     public void opened(L link) {
         open.add(link);
-        List<L> parting = open.stream().filter(Link::isParting).toList();
-        int staying = open.size() - parting.size();
-        parting.stream().limit(Math.max(0, parting.size() - overflow / 2)).forEach(Link::end);
+        List<L> lingering = open.stream().filter(Link::isLingering).toList();
+        int staying = open.size() - lingering.size();
+        lingering.stream().limit(Math.max(0, lingering.size() - overflow / 2)).forEach(Link::end);
         if (staying > most) {
-            open.stream().filter(other -> other != link && !other.isParting()).filter(mayGo).min(missed).orElse(link)
+            open.stream().filter(other -> other != link && !other.isLingering()).filter(mayGo).min(missed).orElse(link)
                 .makeWay();
         }
     }
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -9,14 +9,14 @@
 import damsonslip.core.Phase;
 import damsonslip.core.Phase.State;
 import damsonslip.core.SlowPeer;
+import damsonslip.draining.ConnectionDraining;
+import damsonslip.draining.StopTimes;
 import damsonslip.handover.Folder;
 import damsonslip.handover.Handover;
 import damsonslip.kin.Kin;
 import damsonslip.mgmt.Mgmt;
 import damsonslip.net.Address;
 import damsonslip.net.Links;
-import damsonslip.parting.Parting;
-import damsonslip.parting.StopTimes;
 import damsonslip.platform.clients.ClientSide;
 import damsonslip.platform.servers.HostGroup;
 import damsonslip.platform.servers.ServerSide;
@@ -228,7 +228,7 @@
     @Override
     public boolean drain() {
         if (phase.drain()) {
-            clients.sendAway(Parting.drained(loop.now()));
+            clients.sendAway(ConnectionDraining.drained(loop.now()));
         }
         return true;
     }
@@ -245,7 +245,8 @@
 
     private void shut() {
         door.shut();
-        clients.sendAway(succeeded() ? Parting.succeeded(loop.now(), stopTimes) : Parting.shut(loop.now()));
+        clients.sendAway(succeeded() ? ConnectionDraining.succeeded(loop.now(), stopTimes)
+            : ConnectionDraining.shut(loop.now()));
     }
 
     private boolean done() {
--- a/src/main/java/damsonslip/platform/clients/ClientLink.java
+++ b/src/main/java/damsonslip/platform/clients/ClientLink.java
@@ -1,14 +1,14 @@
 package damsonslip.platform.clients;
 
 import damsonslip.core.Answer;
-import damsonslip.core.Asker;
+import damsonslip.core.AnswerListener;
 import damsonslip.core.Exchange;
 import damsonslip.core.Loop;
 import damsonslip.core.SlowPeer;
+import damsonslip.draining.ConnectionDraining;
 import damsonslip.net.Link;
 import damsonslip.net.Outflow;
 import damsonslip.pace.Pace;
-import damsonslip.parting.Parting;
 import damsonslip.platform.http.Encoder;
 import damsonslip.platform.http.Field;
 import java.nio.ByteBuffer;
@@ -18,7 +18,7 @@
 import org.eclipse.jetty.io.EndPoint;
 
 /** A client's connection: one query at a time, from its bytes to its answer. */
-final class ClientLink extends Link implements Asker {
+final class ClientLink extends Link implements AnswerListener {
     private static final byte[] CONTINUE = "HTTP/1.1 100 Continue\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
 
     /** Within this time of the connection's start, or of its first bytes, a query has to be whole. */
@@ -228,8 +228,8 @@
     }
 
     /** Carries out what sending clients away means for this one. */
-    void part(Parting parting) {
-        switch (parting.of(side.loop().now(), busy, reader.midway(), idleSinceUs)) {
+    void drain(ConnectionDraining draining) {
+        switch (draining.of(side.loop().now(), busy, reader.midway(), idleSinceUs)) {
             case KEEP -> { }
             case END -> endIfIdle();
             case REFUSE -> {
@@ -251,12 +251,12 @@
 
     /** Whether it may be ended to make room: nothing that it has asked for is under way. */
     boolean mayGo() {
-        return !busy || isParting();
+        return !busy || isLingering();
     }
 
     /** How much it would be missed: usual clients send at once, get their results, and come back. */
     private int worth() {
-        return isParting() ? 0 : whole == 0 ? 1 : served == 0 ? 2 : 3;
+        return isLingering() ? 0 : whole == 0 ? 1 : served == 0 ? 2 : 3;
     }
 
     /** The order in which they go when there is no room. */
--- a/src/main/java/damsonslip/platform/clients/ClientSide.java
+++ b/src/main/java/damsonslip/platform/clients/ClientSide.java
@@ -9,12 +9,12 @@
 import damsonslip.core.Phase.State;
 import damsonslip.core.Query;
 import damsonslip.core.SlowPeer;
+import damsonslip.draining.ConnectionDraining;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
 import damsonslip.net.Outflow;
 import damsonslip.net.Room;
 import damsonslip.pace.Budget;
-import damsonslip.parting.Parting;
 import damsonslip.settings.Site;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -33,7 +33,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(ClientSide.class);
     /** Ids of queries that are remembered: more than come in within the longest deadline. */
     private static final int MOST_TAKEN = 4_000;
-    /** Connections that are to go are looked at this often: short beside every time in {@link Parting}. */
+    /** Connections that are to go are looked at this often: short beside every time in {@link ConnectionDraining}. */
     private static final long SWEEP_US = 50_000;
 
     private final Links links;
@@ -43,7 +43,7 @@
     private final Counters counters;
     private final Room<ClientLink> room;
     private long latestUs = Long.MAX_VALUE;
-    private Parting parting;
+    private ConnectionDraining draining;
     private boolean succeeded;
     /** The ids of the queries taken lately, the oldest first. */
     private final Map<String, Boolean> taken = new LinkedHashMap<>() {
@@ -77,21 +77,21 @@
     }
 
     /** Ends connections by this rule, until {@link #stay}; one that holds already stays as it is. */
-    public void sendAway(Parting rule) {
-        if (parting == null) {
-            parting = rule;
+    public void sendAway(ConnectionDraining rule) {
+        if (draining == null) {
+            draining = rule;
             sweep(rule);
         }
     }
 
     /** Connections stay again. */
     public void stay() {
-        parting = null;
+        draining = null;
     }
 
-    private void sweep(Parting rule) {
-        if (parting == rule) {
-            List.copyOf(room.all()).forEach(link -> link.part(rule));
+    private void sweep(ConnectionDraining rule) {
+        if (draining == rule) {
+            List.copyOf(room.all()).forEach(link -> link.drain(rule));
             loop().in(SWEEP_US, () -> sweep(rule));
         }
     }
--- a/src/test/java/damsonslip/parting/PartingTest.java
+++ b/src/test/java/damsonslip/draining/ConnectionDrainingTest.java
@@ -1,12 +1,12 @@
-package damsonslip.parting;
+package damsonslip.draining;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import damsonslip.parting.Parting.Verdict;
+import damsonslip.draining.ConnectionDraining.Verdict;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class PartingTest {
+class ConnectionDrainingTest {
     /** Times in ms after the drain; what matters is that nothing taken late can be open 4 s after the call. */
     @ParameterizedTest
     @CsvSource({
@@ -16,6 +16,7 @@
         "5000, true, false, -9000, KEEP", "2500, false, false, 2499, END"})
     void aConnectionIsKeptEndedOrRefused(long nowMs, boolean busy, boolean midway, long idleSinceMs, Verdict verdict) {
         long began = 1_000_000_000;
-        assertEquals(verdict, Parting.drained(began).of(began + nowMs * 1000, busy, midway, began + idleSinceMs * 1000));
+        assertEquals(verdict, ConnectionDraining.drained(began)
+            .of(began + nowMs * 1000, busy, midway, began + idleSinceMs * 1000));
     }
 }
