Let moves be saved up for the loss of a zone

Twenty may be saved up; where queues are everywhere that many are never earned (0.125 a job at three quarters that start at once).

--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -34,8 +34,8 @@
     /** A job that may be repeated is looked at so long after it was sent, after this part of its slack. */
     private static final long MOVE_US = 100_000;
     private static final double MOVE_PART = 0.12;
-    /** A job that starts at once allows so many moves, up to a few; one that does not takes back so many. */
-    private static final double MOVES_AT_ONCE = 0.3, MOVES_LATER = -0.4, MOST_MOVES = 5;
+    /** A job that starts at once allows so many moves, enough for a lost zone; others take some back. */
+    private static final double MOVES_AT_ONCE = 0.3, MOVES_LATER = -0.4, MOST_MOVES = 20;
     /** A worker counts as having room down to this many free slots: guesses are fractions. */
     private static final double ROOM = 0.5;
     /** A worker of the own zone counts as having this many more free slots. */
