--- a/src/test/java/damsonslip/handover/FolderTest.java
+++ b/src/test/java/damsonslip/handover/FolderTest.java
@@ -19,7 +19,7 @@
 
 /** Marks in the folder that processes of one scheduler share. */
 class FolderTest {
-    private static final int STARTS = 300;
+    private static final int STARTS = 6_000;
     private static final long LONGEST_S = 30;
 
     @TempDir
