--- a/src/main/java/damsonslip/Dispatch.java
+++ b/src/main/java/damsonslip/Dispatch.java
@@ -44,11 +44,12 @@
 
     /**
      * What a list update holds: changes, the whole list, the one kept over a restart, changes that an operator made here;
-     * or nothing, where a call failed or a watch broke, no connection came up, or an open watch fell silent.
+     * or nothing, where a call failed or a watch broke, no connection came up, an open watch fell silent, or this machine
+     * could not even make the call.
      */
     enum ListMode {
         CHANGES(null), COMPLETE(null), KEPT(null), OVERRIDES(null), FAILED(Loss.FAILED), UNREACHABLE(Loss.UNREACHABLE),
-        SILENT(Loss.SILENT);
+        SILENT(Loss.SILENT), NOT_CALLED(Loss.NOT_CALLED);
 
         /** How the call or the watch ended, or null if this holds news. */
         final Loss loss;
@@ -236,7 +237,7 @@
 
     /**
      * The list of workers, or changes to it, or the end of a call or a watch; {@code heardUs} tells for a watch that fell
-     * silent when it last said something.
+     * silent when it last said something, and for a list that was kept when the process that begins with it was launched.
      */
     record ListUpdate(ListMode mode, List<Worker> workers, long heardUs) implements Event {
         public ListUpdate {
@@ -246,6 +247,39 @@
         public ListUpdate(ListMode mode, List<Worker> workers) {
             this(mode, workers, Long.MAX_VALUE);
         }
+
+        /** Tells what is no end of a call or a watch. */
+        void tell(DiscoveryWatch watch) {
+            if (mode.isNews()) {
+                watch.received();
+            } else if (mode == ListMode.KEPT && heardUs != Long.MAX_VALUE) {
+                watch.launched(heardUs);
+            }
+        }
+    }
+
+    /** What is known of discovery's address after the operators have asked for a reload. */
+    enum AddressNews {
+        /** The configuration cannot be read at the moment, and may name another address. */
+        UNREAD,
+        /** The configuration was read, or refused for what it says. */
+        READ,
+        /** It names another address, where discovery has yet to tell its list. */
+        MOVED,
+        /** Discovery has told its list at its new address. */
+        HEARD
+    }
+
+    /** News of discovery's address; {@code sinceUs} is when the operators asked for the reload that brought them. */
+    record DiscoveryAddress(AddressNews news, long sinceUs) implements Event {
+        void tell(DiscoveryWatch watch) {
+            switch (news) {
+                case UNREAD -> watch.configurationUnread(sinceUs);
+                case READ -> watch.configurationRead();
+                case MOVED -> watch.moved(sinceUs);
+                case HEARD -> watch.heardWhereItMoved();
+            }
+        }
     }
 
     /**
@@ -329,6 +363,12 @@
     record WorkerState(String id, int zone, int kind, boolean running, boolean cold, boolean paused, int out,
                        double free, int pool, double coldPartUs) { }
 
+    /**
+     * What a cold worker was sent from here in its window, and what it bears there from all dispatchers; both in requests
+     * of mean work.
+     */
+    record ColdLoad(double requests, double bearable) { }
+
     private static void require(boolean holds, String what) {
         if (!holds) {
             throw new IllegalArgumentException(what);
--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -2,6 +2,7 @@
 
 import damsonslip.Dispatch.JobArrived;
 import damsonslip.Dispatch.JobClass;
+import damsonslip.membership.StartTimes;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -53,7 +54,11 @@
         int cell;
         int kind;
         boolean running;
-        long started;
+        /** When it started, as the list says on the machines' wall clock, and on the clock of the events. */
+        long stamp = StartTimes.LONG_AGO;
+        long started = StartTimes.LONG_AGO;
+        /** It was seen to start, so that the second of these rests on no wall clock. */
+        boolean seenToStart;
         Pool pool;
         private double slots = Double.NaN;
         private int errors;
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -4,6 +4,7 @@
 import damsonslip.Known.*;
 import damsonslip.Known.Worker;
 import damsonslip.membership.DiscoveryWatch;
+import damsonslip.membership.StartTimes;
 import java.util.*;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
@@ -84,8 +85,6 @@
     private static final double GRID = 16;
     /** A class's part of the load must leave its grid point by this many steps before pools are cut anew. */
     private static final double MOVE = 0.8;
-    /** Part of the stated cold budget that is spent: job times are guesses, and windows overlap by two. */
-    private static final double COLD_PART = 0.4;
     /** Work that a new connection or a probe is taken to cost a cold worker. */
     private static final double HANDSHAKE_US = 3_000;
     /** No client is told to stay away for longer: things look different by then. */
@@ -107,6 +106,8 @@
     private final Guarantees rules;
     private final SplittableRandom random;
     private final DiscoveryWatch discovery;
+    private final StartTimes startTimes = new StartTimes();
+    private final ColdBudget coldBudget;
     private final TreeMap<String, Worker> workers = new TreeMap<>();
     private final Map<String, Job> jobs = new HashMap<>();
     private final Pool[] pools;
@@ -127,6 +128,7 @@
         this.rules = settings.guarantees();
         this.random = new SplittableRandom(seed);
         this.discovery = settings.watchOfDiscovery();
+        this.coldBudget = new ColdBudget(rules);
         this.pools = new Pool[settings.classes().size()];
         for (int i = 0; i < pools.length; i++) {
             pools[i] = new Pool(settings.classes().get(i), settings.kinds(), settings.zones());
@@ -157,6 +159,8 @@
         }
         if (event instanceof ListUpdate e) {
             listed(e);
+        } else if (event instanceof DiscoveryAddress e) {
+            e.tell(discovery);
         } else if (event instanceof JobArrived e) {
             arrived(e);
         } else if (event instanceof AttemptStarted e) {
@@ -226,14 +230,16 @@
 
     private void listed(ListUpdate update) {
         ListMode mode = update.mode();
+        if (mode == ListMode.NOT_CALLED && !settings.listOnRequest()) {
+            discovery.unread(now);
+            return;
+        }
         if (mode.isLoss()) {
             long heard = Math.min(now, update.heardUs());
             actions.add(new SetTimer(discovery.lost(mode.loss, heard, now, random.nextDouble()), LIST));
             return;
         }
-        if (mode.isNews()) {
-            discovery.received();
-        }
+        update.tell(discovery);
         boolean changed = false;
         if (mode.isWhole()) {
             for (Worker w : workers.values()) {
@@ -241,23 +247,31 @@
                 w.running = false;
             }
         }
+        long correction = startTimes.correctionUs();
         for (Dispatch.Worker entry : update.workers()) {
-            changed |= listed(entry);
+            changed |= listed(entry, mode.isNews() && startTimes.seesStarts());
+        }
+        startTimes.listed(mode.isNews(), now);
+        if (correction != startTimes.correctionUs()) {
+            workers.values().stream().filter(w -> !w.seenToStart)
+                .forEach(w -> w.started = startTimes.told(w.stamp, now));
         }
         if (changed) {
             deal();
         }
     }
 
-    private boolean listed(Dispatch.Worker entry) {
+    private boolean listed(Dispatch.Worker entry, boolean seesStarts) {
         Worker w = workers.computeIfAbsent(entry.id(), Worker::new);
         boolean before = w.running;
         w.running = entry.status() == Status.RUNNING;
         w.zone = entry.zone();
         w.cell = entry.cell();
         w.kind = entry.kind();
-        if (w.started != entry.startedUs()) {
-            w.started = entry.startedUs();
+        if (w.stamp != entry.startedUs()) {
+            w.stamp = entry.startedUs();
+            w.seenToStart = seesStarts;
+            w.started = seesStarts ? startTimes.seen(w.stamp, now) : startTimes.told(w.stamp, now);
             w.coldTurn = -1;
             w.pausedUntil = w.strikes = 0;
             w.pace = 1; // what made it slow has most likely gone
@@ -489,7 +503,7 @@
         pool.arrivals += beyond ? 0 : 1;
         // in overload all would use their swing at once, so it shrinks as the pool fills
         double most = pool.share + SWING * Math.sqrt(pool.share) * Math.min(1, 2 * freeShare(pool));
-        if (beyond || !discovery.isValid(now)) {
+        if (beyond || !discovery.mayWait(now)) {
             answer(job);
         } else if (pool.present > most && !seenFree) {
             Worker lent = ask.subject() == null ? borrow(pool, job) : null;
@@ -547,7 +561,7 @@
             if (w != null) {
                 job.held = false;
                 send(job, w);
-            } else if (!mayRepeat(job, job.risk) || !discovery.isValid(now)) {
+            } else if (!mayRepeat(job, job.risk) || !discovery.mayWait(now)) {
                 answer(job); // its window, or the time that the list holds for, has ended while it was held
             } else if (job.attempts.isEmpty() && !pool.hold.isEmpty() && pressed(job)) {
                 answer(job); // others wait behind it, and served in order all would be just too late
@@ -685,37 +699,12 @@
 
     // ---- cold workers (rule 4)
 
-    /**
-     * A cold worker's budget is cut into windows of the stated length. Each dispatcher spends its even part
-     * of a part of it; where that does not hold one job, dispatchers take turns, by number, with what their
-     * turn holds. What is not spent is lost, so buckets start empty and no burst builds up.
-     */
-    private boolean coldAllows(Worker w, double cost) {
-        if (!cold(w)) {
-            return true;
-        }
-        long turn = Math.floorDiv(now - w.started, rules.fallUs());
-        double mine = coldPart(w);
-        long turns = Math.max(1, (long) Math.ceil(cost / mine));
-        return Math.floorMod(turn + w.salt, turns) == Math.floorMod((long) settings.number(), turns)
-            && (w.coldTurn == turn ? w.coldSpent : 0) + cost <= mine * turns;
-    }
-
-    /** The part of a cold worker's budget that is this dispatcher's, in the window at hand. */
-    private double coldPart(Worker w) {
-        double part = rules.warmth(Math.floorDiv(now - w.started, rules.fallUs()) * rules.fallUs());
-        double all = COLD_PART * rules.fallMultiple() * part * w.shown(freeSeen[w.kind]) * rules.fallUs();
-        return all / settings.dispatchers();
-    }
-
     private boolean cold(Worker w) {
-        return rules.coldShare() < 1 && w.started != Long.MIN_VALUE && now - w.started < rules.coldUs();
+        return coldBudget.isCold(w, now);
     }
 
-    private void spendCold(Worker w, double cost) {
-        long turn = cold(w) ? Math.floorDiv(now - w.started, rules.fallUs()) : -1;
-        w.coldSpent = w.coldTurn == turn ? w.coldSpent + cost : cost;
-        w.coldTurn = turn;
+    private boolean coldAllows(Worker w, double cost) {
+        return coldBudget.allows(w, cost, settings, freeSeen[w.kind], now);
     }
 
     // ---- attempts and their outcomes
@@ -727,7 +716,7 @@
         w.out.add(a);
         w.own(job.ask.slots(), now);
         w.sentMemory += job.ask.memory();
-        spendCold(w, cost(job));
+        coldBudget.spend(w, cost(job), now);
         actions.add(new Send(job.ask.job(), w.id, 0));
         if (settings.tellsStart() && settings.limits().mayCancel() && job.ask.subject() == null
             && pools[job.ask.jobClass()].of.effect() != Effect.UNSAFE) {
@@ -916,7 +905,7 @@
             Worker w = probeRound.get(probeNext++ % probeRound.size());
             if (w.running && coldAllows(w, HANDSHAKE_US)) {
                 probeAllowance--;
-                spendCold(w, HANDSHAKE_US);
+                coldBudget.spend(w, HANDSHAKE_US, now);
                 actions.add(new Probe(w.id));
             }
         }
@@ -938,6 +927,15 @@
         return discovery.isUsable(nowUs);
     }
 
+    /** What a cold worker has had from here in its window, and what it bears; null if it is not cold. */
+    public ColdLoad coldLoad(String worker, int jobClass) {
+        Worker w = workers.get(worker);
+        if (w == null || !cold(w)) {
+            return null;
+        }
+        return coldBudget.load(w, settings, freeSeen[w.kind], pools[jobClass].time + HANDSHAKE_US, now);
+    }
+
     /** How the pools stand, by class. */
     public List<PoolState> pools() {
         return Picture.pools(pools, this::freeShare);
@@ -949,7 +947,7 @@
         List<Pool> order = Arrays.asList(pools);
         return workers.values().stream().map(w -> new WorkerState(w.id, w.zone, w.kind, w.running, cold(w),
             now < w.pausedUntil, w.out.size(), free(w), order.indexOf(w.pool),
-            cold(w) ? coldPart(w) : 0)).toList();
+            cold(w) ? coldBudget.part(w, settings, freeSeen[w.kind], now) : 0)).toList();
     }
 
     private void log() {
--- a/src/main/java/damsonslip/console/ConsoleServer.java
+++ b/src/main/java/damsonslip/console/ConsoleServer.java
@@ -8,6 +8,8 @@
 import damsonslip.core.Loop;
 import damsonslip.core.SlowPeer;
 import damsonslip.core.Waits;
+import damsonslip.invariants.Invariant;
+import damsonslip.invariants.InvariantMonitor;
 import damsonslip.net.Address;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
@@ -31,6 +33,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(ConsoleServer.class);
     private static final int MAX_CONNECTIONS = 8;
     private static final long CONNECT_TIMEOUT_MS = 1_000;
+    private static final int MOST_EVENTS = 100;
 
     private final Loop loop;
     private final Counters counters;
@@ -102,6 +105,8 @@
             case "waits" -> waits();
             case "slow" -> slow();
             case "counters" -> counters();
+            case "events" -> events(words.length < 2 ? "" : words[1]);
+            case "invariants" -> invariants();
             case "phase" -> operations.ready().message();
             case "stats" -> metrics();
             case "disable" -> words.length != 2 ? "which worker? disable ID" : operations.disable(words[1]).message();
@@ -171,6 +176,20 @@
         return text.length() == 0 ? "nothing yet" : text.toString();
     }
 
+    private String events(String id) {
+        List<String> newest = front.driver().events().newest(MOST_EVENTS, id);
+        return newest.isEmpty() ? "nothing yet" : String.join("\n", newest);
+    }
+
+    private String invariants() {
+        InvariantMonitor monitor = front.driver().monitor();
+        StringBuilder text = row("%-42s %9s", "rule", "violated");
+        for (Invariant invariant : Invariant.values()) {
+            text.append(row("%-42s %9d", invariant.name().toLowerCase(Locale.ROOT), monitor.count(invariant)));
+        }
+        return text.toString();
+    }
+
     private static StringBuilder row(String format, Object... values) {
         return new StringBuilder(String.format(Locale.ROOT, format, values).stripTrailing()).append('\n');
     }
--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -1,9 +1,12 @@
 package damsonslip.core;
 
 import damsonslip.Dispatch.Action;
+import damsonslip.Dispatch.AddressNews;
 import damsonslip.Dispatch.AttemptEnded;
 import damsonslip.Dispatch.AttemptStarted;
 import damsonslip.Dispatch.Cancel;
+import damsonslip.Dispatch.ColdLoad;
+import damsonslip.Dispatch.DiscoveryAddress;
 import damsonslip.Dispatch.Divided;
 import damsonslip.Dispatch.Effect;
 import damsonslip.Dispatch.Event;
@@ -29,12 +32,21 @@
 import damsonslip.Dispatch.WorkerState;
 import damsonslip.Rules;
 import damsonslip.core.Counters.Count;
+import damsonslip.core.EventLog.Kind;
+import damsonslip.invariants.CloseGuard;
+import damsonslip.invariants.InvariantMonitor;
+import damsonslip.invariants.RepeatGuard;
+import damsonslip.invariants.RepeatGuard.Earlier;
+import damsonslip.invariants.RepeatGuard.Place;
+import damsonslip.invariants.SendGuard;
+import damsonslip.invariants.Violation;
 import damsonslip.overrides.WorkerOverrides;
 import damsonslip.peers.PeerProcesses;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
@@ -54,11 +66,18 @@
     /** A trace tells how things stand this often: the seconds that a fleet's logs are summed by. */
     private static final long TRACE_US = 1_000_000;
 
+    /** What becomes of an action that breaks a rule: {@code report} or, in tests, {@code refuse}. */
+    private static final String INVARIANTS = "damsonslip.invariants";
+    /** Events that are written behind a violation. */
+    private static final int EVENTS_OF_A_VIOLATION = 16;
+
     private final Loop loop;
     private final Counters counters;
     private final Rules rules;
     private final Settings settings;
-    private final Trace trace = new Trace();
+    private final EventLog events = new EventLog();
+    private final InvariantMonitor monitor;
+    private final Trace trace;
     private final Map<String, Exchange> exchanges = new HashMap<>();
     private final WorkerOverrides bans = new WorkerOverrides();
     /** Answers by class and kind. */
@@ -73,6 +92,9 @@
         this.counters = counters;
         this.rules = new Rules(settings, seed);
         this.settings = settings;
+        this.trace = new Trace(events, loop);
+        this.monitor = new InvariantMonitor(InvariantMonitor.Mode.valueOf(
+            System.getProperty(INVARIANTS, "report").toUpperCase(Locale.ROOT)), this::violated);
         trace.settings(settings, loop.now());
         this.answers = new long[settings.classes().size()][Answer.Kind.values().length];
     }
@@ -82,11 +104,16 @@
         tell(new Divided(settings.dispatchers() * kin.processes(), settings.number() * kin.processes() + kin.index()));
     }
 
+    /** Whether there is a list of workers to decide by. */
+    public boolean isBegun() {
+        return workers != null;
+    }
+
     /** Begins with the list of workers that was kept; before anything else is told. */
     public void begin(WorkerSide side, List<Worker> kept) {
         workers = side;
         trace.listed(ListMode.KEPT, kept);
-        tell(new ListUpdate(ListMode.KEPT, bans.apply(ListMode.KEPT, kept)));
+        tell(new ListUpdate(ListMode.KEPT, bans.apply(ListMode.KEPT, kept), loop.startedUs()));
         if (trace.on()) {
             stands();
         }
@@ -97,6 +124,46 @@
         loop.in(TRACE_US, this::stands);
     }
 
+    // ---- the guards of the rules
+
+    /** Counts violations, and says whether what would be one may go on. */
+    public InvariantMonitor monitor() {
+        return monitor;
+    }
+
+    /** The newest events. */
+    public EventLog events() {
+        return events;
+    }
+
+    private void violated(Violation violation) {
+        counters.add(Count.INVARIANTS_VIOLATED);
+        LOG.error("event=invariant_violated invariant={} job={} worker={} detail=\"{}\" events={}", violation.invariant(),
+            violation.job(), violation.worker(), violation.detail(), events.newest(EVENTS_OF_A_VIOLATION, violation.job()));
+    }
+
+    private static List<Earlier> earlier(Exchange exchange) {
+        return exchange.executions.stream().map(Execution::earlier).toList();
+    }
+
+    private JobClass classOf(Query query) {
+        return settings.classes().get(query.jobClass());
+    }
+
+    private Place place(String worker) {
+        Worker listed = bans.listed(worker);
+        return listed == null ? new Place(worker, 0, 0) : new Place(worker, listed.zone(), listed.cell());
+    }
+
+    /** Whether an attempt may begin that is told this much time, at a worker that drains since then. */
+    public boolean permitsSend(Execution execution, long toldUs, long drainingSinceUs) {
+        Query query = execution.query();
+        ColdLoad cold = rules.coldLoad(execution.worker(), query.jobClass());
+        return monitor.permits(SendGuard.check(new SendGuard.Facts(query.id(), execution.worker(), loop.now(),
+            drainingSinceUs, settings.guarantees().drainGraceUs(), !execution.exchange.closed(),
+            query.earliestDeadlineUs(), toldUs, cold)));
+    }
+
     // ---- for operators
 
     public List<PoolState> pools() {
@@ -178,7 +245,7 @@
     public Exchange take(Query query, AnswerListener listener) {
         counters.add(Count.QUERIES_TAKEN);
         trace.taken(query);
-        Exchange exchange = new Exchange(query, listener, answer -> count(query, answer));
+        Exchange exchange = new Exchange(query, listener, this::count);
         open++;
         if (open > MOST_OPEN) {
             exchange.finish(Answer.throttled(0)); // the module was not asked, so there is no figure to give
@@ -190,8 +257,13 @@
         return exchange;
     }
 
-    private void count(Query query, Answer answer) {
+    private void count(Exchange exchange, Answer answer) {
+        Query query = exchange.query();
         open--;
+        monitor.permits(CloseGuard.checkAnswer(query.id(), loop.now(), query.deadlineUs()));
+        if (answer.kind() == Answer.Kind.THROTTLED) {
+            monitor.permits(RepeatGuard.checkRefusal(query.id(), classOf(query), earlier(exchange)));
+        }
         answers[query.jobClass()][answer.kind().ordinal()]++;
         trace.answered(query, answer);
         counters.add(switch (answer.kind()) {
@@ -206,6 +278,7 @@
         if (exchange.abandon()) {
             open--;
             counters.add(Count.QUERIES_GONE);
+            events.add(loop.now(), Kind.DEPARTED, exchange.query().id(), "", 0);
             tell(new JobGone(exchange.query().id()));
             withdraw(exchange);
             forget(exchange);
@@ -242,11 +315,12 @@
             return;
         }
         execution.open = false;
+        execution.outcome = end.outcome();
         trace.ended(execution, end.outcome());
         execution.timeout.cancel();
         Exchange exchange = execution.exchange;
         exchange.outstanding--;
-        JobClass of = settings.classes().get(execution.query().jobClass());
+        JobClass of = classOf(execution.query());
         if (of.effect() == Effect.KEYED && !end.outcome().provesNotRun()) {
             exchange.repeatsUntilUs = Math.min(exchange.repeatsUntilUs, execution.sentUs() + of.windowUs() - ARRIVES_US);
         }
@@ -275,6 +349,12 @@
         tell(new ListUpdate(mode, bans.apply(mode, list)));
     }
 
+    /** News of discovery's address after a reload that was asked for at that time. */
+    public void discoveryAddress(AddressNews news, long sinceUs) {
+        events.add(loop.now(), Kind.LISTED, "", "address " + news.name().toLowerCase(Locale.ROOT), 0);
+        tell(new DiscoveryAddress(news, sinceUs));
+    }
+
     /**
      * A call to discovery or the watch on it has ended.
      *
@@ -314,7 +394,7 @@
                 actions.clear();
                 rules.handle(loop.now(), next, actions);
                 for (Action action : actions) {
-                    carryOut(action);
+                    carryOutOrReport(action);
                 }
             }
         } finally {
@@ -322,6 +402,16 @@
         }
     }
 
+    /** Guards the actions behind one that fails, such as the timer by which its request gets an answer. */
+    private void carryOutOrReport(Action action) {
+        try {
+            carryOut(action);
+        } catch (RuntimeException e) {
+            counters.add(Count.ACTIONS_FAILED);
+            LOG.error("event=action_failed action={}", action, e);
+        }
+    }
+
     private void carryOut(Action action) {
         if (action instanceof Send send) {
             send(send);
@@ -359,13 +449,16 @@
         long now = loop.now();
         long deadline = exchange.query().deadlineUs();
         long endsBy = send.timeoutUs() > 0 ? Math.min(deadline, now + send.timeoutUs()) : deadline;
-        Execution execution = new Execution(exchange, exchange.executions.size(), send.worker(), now,
-            exchange.repeatsUntilUs, endsBy);
+        Place place = place(send.worker());
+        boolean permitted = monitor.permits(
+            RepeatGuard.check(send.job(), classOf(exchange.query()), place, earlier(exchange), now));
+        Execution execution = new Execution(exchange, exchange.executions.size(), place, now, exchange.repeatsUntilUs,
+            endsBy);
         exchange.executions.add(execution);
         trace.sent(execution);
         exchange.outstanding++;
         execution.timeout = loop.at(endsBy, () -> stop(execution, Outcome.TIMED_OUT));
-        if (exchange.closed()) {
+        if (exchange.closed() || !permitted) {
             ended(execution, Execution.End.of(Outcome.NEVER_SENT));
         } else {
             workers.start(execution);
--- a/src/main/java/damsonslip/core/Exchange.java
+++ b/src/main/java/damsonslip/core/Exchange.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.function.Consumer;
+import java.util.function.BiConsumer;
 
 /**
  * A query, its executions and its one final answer: the only place where the client side and the server side
@@ -11,14 +11,14 @@
 public final class Exchange {
     private final Query query;
     private final AnswerListener listener;
-    private final Consumer<Answer> counting;
+    private final BiConsumer<Exchange, Answer> counting;
     final List<Execution> executions = new ArrayList<>(1);
     int outstanding;
     /** When repeats are last known for such, counted from the first execution that may have run. */
     long repeatsUntilUs = Long.MAX_VALUE;
     private boolean closed;
 
-    Exchange(Query query, AnswerListener listener, Consumer<Answer> counting) {
+    Exchange(Query query, AnswerListener listener, BiConsumer<Exchange, Answer> counting) {
         this.query = query;
         this.listener = listener;
         this.counting = counting;
@@ -47,7 +47,7 @@
             return false;
         }
         closed = true;
-        counting.accept(answer);
+        counting.accept(this, answer);
         listener.answer(answer);
         return true;
     }
--- a/src/main/java/damsonslip/core/Execution.java
+++ b/src/main/java/damsonslip/core/Execution.java
@@ -2,6 +2,8 @@
 
 import damsonslip.Dispatch.Outcome;
 import damsonslip.Dispatch.Report;
+import damsonslip.invariants.RepeatGuard.Earlier;
+import damsonslip.invariants.RepeatGuard.Place;
 
 /** One attempt to have a query done by a worker. */
 public final class Execution {
@@ -13,11 +15,15 @@
     private final long beginsByUs;
     Loop.Timer timeout;
     boolean open = true;
+    /** How it ended; null while it is open. */
+    Outcome outcome;
+    private final Place place;
 
-    Execution(Exchange exchange, int number, String worker, long sentUs, long beginsByUs, long endsByUs) {
+    Execution(Exchange exchange, int number, Place place, long sentUs, long beginsByUs, long endsByUs) {
         this.exchange = exchange;
         this.number = number;
-        this.worker = worker;
+        this.place = place;
+        this.worker = place.worker();
         this.sentUs = sentUs;
         this.beginsByUs = beginsByUs;
         this.endsByUs = endsByUs;
@@ -59,6 +65,11 @@
         return endsByUs;
     }
 
+    /** The same for the guard of further attempts. */
+    Earlier earlier() {
+        return new Earlier(place, sentUs, open, !open && outcome.provesNotRun());
+    }
+
     /** Whether its end is still awaited. */
     public boolean open() {
         return open;
--- a/src/main/java/damsonslip/core/Front.java
+++ b/src/main/java/damsonslip/core/Front.java
@@ -15,8 +15,10 @@
     /**
      * The operator has replaced the settings; called on a thread of its own. What can change while serving does;
      * settings that cannot be used are told of and change nothing.
+     *
+     * @param signalNs when the operator asked for it, by {@link System#nanoTime}
      */
-    void reload();
+    void reload(long signalNs);
 
     /** Sends clients away until {@link #undrain}; tells false where the front cannot. Called on the loop. */
     default boolean drain() {
--- a/src/main/java/damsonslip/core/Loop.java
+++ b/src/main/java/damsonslip/core/Loop.java
@@ -20,6 +20,7 @@
     });
 
     private final Waits waits = new Waits();
+    private volatile Runnable taskFailed = () -> { };
 
     public Loop() {
         thread.setRemoveOnCancelPolicy(true);
@@ -27,7 +28,17 @@
     }
 
     public long now() {
-        return epochUs + (System.nanoTime() - nanosAtEpoch) / 1000;
+        return timeOf(System.nanoTime());
+    }
+
+    /** When this clock was begun, at the start of the program. */
+    public long startedUs() {
+        return epochUs;
+    }
+
+    /** What {@link #now} gave at that time of {@link System#nanoTime}. */
+    public long timeOf(long nanoTime) {
+        return epochUs + (nanoTime - nanosAtEpoch) / 1000;
     }
 
     public void execute(Runnable task) {
@@ -50,6 +61,11 @@
         return at(now() + us, task);
     }
 
+    /** Has this told of each task that fails. */
+    public void onTaskFailed(Runnable listener) {
+        taskFailed = listener;
+    }
+
     /** How long tasks have waited for their turn; read on the loop. */
     public Waits waits() {
         return waits;
@@ -70,8 +86,9 @@
             try {
                 waits.add((System.nanoTime() - dueNs) / 1000);
                 task.run();
-            } catch (RuntimeException e) {
-                LOG.error("a task failed and was dropped", e);
+            } catch (RuntimeException | Error e) { // an Error would be kept by the pool, and nobody would hear of it
+                LOG.error("event=task_failed a task failed and was dropped", e);
+                taskFailed.run();
             }
         };
     }
--- a/src/main/java/damsonslip/core/Trace.java
+++ b/src/main/java/damsonslip/core/Trace.java
@@ -7,18 +7,30 @@
 import damsonslip.Dispatch.Status;
 import damsonslip.Dispatch.Worker;
 import damsonslip.Dispatch.WorkerState;
+import damsonslip.core.EventLog.Kind;
 import java.util.List;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /**
- * One line for each thing that happens to a query, for reading a fleet's logs together. Off unless the logger named
- * {@code damsonslip.core.Trace} is set to debug, since a line for each event costs more than the event.
+ * Notes what happens to queries in the {@link EventLog}, and writes a line for each, for reading a fleet's logs together;
+ * the lines are off unless the logger named {@code damsonslip.core.Trace} is set to debug.
  */
 final class Trace {
     private static final Logger LOG = LoggerFactory.getLogger(Trace.class);
     private final boolean on = LOG.isDebugEnabled();
+    private final EventLog events;
+    private final Loop loop;
+
+    Trace(EventLog events, Loop loop) {
+        this.events = events;
+        this.loop = loop;
+    }
+
+    private void note(Kind kind, String id, Object detail, long figure) {
+        events.add(loop.now(), kind, id, detail, figure);
+    }
 
     boolean on() {
         return on;
@@ -37,6 +49,7 @@
     }
 
     void taken(Query query) {
+        note(Kind.TAKEN, query.id(), query.jobClass(), query.deadlineUs());
         if (on) {
             LOG.debug("taken {} class={} slots={} untilUs={}", query.id(), query.jobClass(), query.slots(),
                 query.deadlineUs());
@@ -44,30 +57,40 @@
     }
 
     void sent(Execution execution) {
+        note(Kind.SENT, execution.query().id(), execution.worker(), execution.number());
         if (on) {
             LOG.debug("sent {} n={} to={}", execution.query().id(), execution.number(), execution.worker());
         }
     }
 
     void started(Execution execution) {
+        note(Kind.STARTED, execution.query().id(), execution.worker(), execution.number());
         if (on) {
             LOG.debug("started {} n={} to={}", execution.query().id(), execution.number(), execution.worker());
         }
     }
 
     void ended(Execution execution, Outcome outcome) {
+        note(Kind.ENDED, execution.query().id(), outcome, execution.number());
         if (on) {
             LOG.debug("ended {} n={} to={} as={}", execution.query().id(), execution.number(), execution.worker(), outcome);
         }
     }
 
     void answered(Query query, Answer answer) {
+        note(Kind.ANSWERED, query.id(), answer.kind(), answer.retryAfterUs());
         if (on) {
             LOG.debug("answered {} as={} retryUs={}", query.id(), answer.kind(), answer.retryAfterUs());
         }
     }
 
     void listed(ListMode mode, List<Worker> list) {
+        note(mode.isLoss() ? Kind.LIST_LOST : Kind.LISTED, "", mode, list.size());
+        for (Worker w : list) {
+            if (w.status() != Status.RUNNING) {
+                note(Kind.DRAIN_TOLD, w.id(), w.status(), 0);
+            }
+        }
         if (on) {
             LOG.debug("listed {} entries={}", mode, list.size());
             for (Worker w : list) {
--- a/src/main/java/damsonslip/faktory/Faktory.java
+++ b/src/main/java/damsonslip/faktory/Faktory.java
@@ -125,7 +125,7 @@
 
     /** Reads the password again, for new connections; other settings take effect at the next start. */
     @Override
-    public void reload() {
+    public void reload(long signalNs) {
         try {
             FaktoryConfig fresh = FaktoryConfig.read(file);
             password = new Password(fresh.password());
--- a/src/main/java/damsonslip/faktory/JobCoordinator.java
+++ b/src/main/java/damsonslip/faktory/JobCoordinator.java
@@ -249,7 +249,7 @@
             unawaited.add(dispatched);
         }
         String[] rejection = new String[1];
-        dispatched.exchange = driver.take(new Query(record.id(), entry.jobClass(), 0, deadlineMs * 1000,
+        dispatched.exchange = driver.take(new Query(record.id(), entry.jobClass(), 0, deadlineMs * 1000, deadlineMs * 1000,
             record.facts().slots(), 0, null, maxAttempts,
             worker -> !jobTable.isPaused(queue) && fetchDirectory.fetches(worker, queue), dispatched),
             answer -> rejection[0] = finish(dispatched, answer));
--- a/src/main/java/damsonslip/faktory/sets/RetryPolicy.java
+++ b/src/main/java/damsonslip/faktory/sets/RetryPolicy.java
@@ -87,7 +87,8 @@
             return true;
         }
         boolean deduplicated = of.effect() == Effect.KEYED && of.group() == Group.ALL;
-        return deduplicated && atMs < record.firstRunMs() + of.windowUs() / 1000;
+        long sinceMs = atMs - record.firstRunMs(); // below 0 where the wall clock was put back: then nobody knows
+        return deduplicated && sinceMs >= 0 && sinceMs < of.windowUs() / 1000;
     }
 
     /**
--- a/src/main/java/damsonslip/handover/SharedDirectory.java
+++ b/src/main/java/damsonslip/handover/SharedDirectory.java
@@ -56,29 +56,48 @@
      */
     public SharedDirectory(Path path) throws IOException {
         this.path = path;
-        List<Integer> numbers = new ArrayList<>();
-        FileChannel[] made = new FileChannel[1];
-        int[] mine = new int[1];
-        withLock(() -> {
+        Registration registration = new Registration();
+        try {
+            withLock(registration::make);
+            registration.lockFile.write(ByteBuffer.wrap(STARTING.getBytes(StandardCharsets.US_ASCII)), 0);
+        } catch (IOException e) { // a lock that stayed would keep this process from trying again
+            registration.undo();
+            throw e;
+        }
+        number = registration.number;
+        lockFile = registration.lockFile;
+    }
+
+    /** A lock file in the making, which leaves nothing behind if it fails. */
+    private final class Registration {
+        private final Path unnamed = path.resolve(LOCK_FILE_PREFIX + "new");
+        private int number;
+        private FileChannel lockFile;
+
+        void make() throws IOException {
+            List<Integer> numbers = new ArrayList<>();
             for (Path other : lockFiles()) {
                 if (readState(other) == null) {
                     Files.deleteIfExists(other);
                 } else {
-                    numbers.add(number(other));
+                    numbers.add(SharedDirectory.number(other));
                 }
             }
-            mine[0] = 1 + numbers.stream().mapToInt(Integer::intValue).max().orElse(0);
+            number = 1 + numbers.stream().mapToInt(Integer::intValue).max().orElse(0);
             // locked before it gets the name under which other processes probe it, since a probe holds the lock briefly
-            Path unnamed = path.resolve(LOCK_FILE_PREFIX + "new");
-            made[0] = FileChannel.open(unnamed, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
-            if (made[0].tryLock() == null) {
+            lockFile = FileChannel.open(unnamed, StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+            if (lockFile.tryLock() == null) {
                 throw new IOException("the mark of this process is held by another");
             }
-            Files.move(unnamed, lockFilePath(mine[0]), StandardCopyOption.ATOMIC_MOVE);
-        });
-        number = mine[0];
-        lockFile = made[0];
-        writeState(STARTING);
+            Files.move(unnamed, lockFilePath(number), StandardCopyOption.ATOMIC_MOVE);
+        }
+
+        void undo() throws IOException {
+            if (lockFile != null) {
+                lockFile.close();
+                Files.deleteIfExists(lockFilePath(number));
+            }
+        }
     }
 
     /** Announces to the other processes that this one serves from now on. */
@@ -148,12 +167,25 @@
         return Files.readString(file);
     }
 
-    /** Replaces the shared worker overrides atomically: a crash leaves the old text or the new one. */
+    /**
+     * Replaces the shared worker overrides atomically and durably: a crash leaves the old text or the new one, and once
+     * this returns it leaves the new one. A command waits for the disk, and the event loop with it; commands are rare.
+     */
     public void writeOverrides(String overrides) throws IOException {
         Path whole = path.resolve(OVERRIDES_FILE);
         Path part = path.resolve(OVERRIDES_FILE + ".part");
-        Files.writeString(part, overrides);
+        try (FileChannel file = FileChannel.open(part, StandardOpenOption.CREATE, StandardOpenOption.TRUNCATE_EXISTING,
+                 StandardOpenOption.WRITE)) {
+            ByteBuffer text = ByteBuffer.wrap(overrides.getBytes(StandardCharsets.UTF_8));
+            while (text.hasRemaining()) {
+                file.write(text);
+            }
+            file.force(true);
+        }
         Files.move(part, whole, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        try (FileChannel folder = FileChannel.open(path, StandardOpenOption.READ)) {
+            folder.force(true); // the new name as well
+        }
         lastVersion = version(whole);
     }
 
--- a/src/main/java/damsonslip/handover/UpgradeCoordinator.java
+++ b/src/main/java/damsonslip/handover/UpgradeCoordinator.java
@@ -24,6 +24,8 @@
     private final Consumer<PeerProcesses> listener;
     private PeerProcesses peers = PeerProcesses.ALONE;
     private boolean closed;
+    private boolean serving;
+    private boolean marked;
 
     /**
      * Creates a coordinator that does nothing until {@link #begin}.
@@ -40,11 +42,30 @@
     /** Polls now, and periodically from then on until {@link #close}. */
     public void begin() {
         refresh();
+        writeMark();
         if (!closed) {
             loop.in(POLL_US, this::begin);
         }
     }
 
+    /** Announces that this process serves; again with each poll until the directory takes it. */
+    public void markServing() {
+        serving = true;
+        writeMark();
+    }
+
+    private void writeMark() {
+        if (!serving || marked || closed) {
+            return;
+        }
+        try {
+            directory.markServing();
+            marked = true;
+        } catch (IOException e) {
+            LOG.warn("event=mark_not_written error=\"{}\"", e.getMessage());
+        }
+    }
+
     /** Polls now and returns the current peers; the last known ones once closed, or if the directory cannot be read. */
     public PeerProcesses refresh() {
         if (closed) {
--- a/src/main/java/damsonslip/lab/Lab.java
+++ b/src/main/java/damsonslip/lab/Lab.java
@@ -1,5 +1,6 @@
 package damsonslip.lab;
 
+import damsonslip.lab.soak.SoakCommand;
 import damsonslip.settings.BadInput;
 import java.io.PrintStream;
 import java.io.PrintWriter;
@@ -9,7 +10,7 @@
 
 /** The command {@code lab}: tools that measure, beside the scheduler and never in it. */
 @Command(name = "lab", description = "Measures how a scheduler's costs grow with its fleet.",
-    subcommands = {ScaleCommand.class, SlopesCommand.class, RealCommand.class})
+    subcommands = {ScaleCommand.class, SlopesCommand.class, RealCommand.class, SoakCommand.class})
 public final class Lab {
     private static final int BAD_INPUT = 1;
     private static final int USAGE = 2;
@@ -33,7 +34,7 @@
             return BAD_INPUT;
         });
         if (args.isEmpty()) {
-            err.println("usage: java -jar damsonslip.jar lab scale | slopes FILE | real (--help tells more)");
+            err.println("usage: java -jar damsonslip.jar lab scale | slopes FILE | real | soak (--help tells more)");
             return USAGE;
         }
         return line.execute(args.toArray(String[]::new));
--- a/src/main/java/damsonslip/membership/DiscoveryWatch.java
+++ b/src/main/java/damsonslip/membership/DiscoveryWatch.java
@@ -22,20 +22,26 @@
         /** No connection to discovery came up: it cannot have told anything meanwhile. */
         UNREACHABLE,
         /** The open watch said nothing any more, though discovery may be well. */
-        SILENT
+        SILENT,
+        /** The call never left this machine, which had no socket for it: nothing is known of discovery. */
+        NOT_CALLED
     }
 
     private enum State { WAITING, CALLING, OPEN }
 
     /** A change counts as told this long after discovery had it and could be reached (STANDING, FLEET). */
     private static final long TOLD_US = 6_000_000;
+    /** What a discovery that has moved has to tell counts as told this long after SIGHUP (LATER, STANDING). */
+    private static final long MOVED_TOLD_US = 4_000_000;
     /** Sends end this much before the drain grace does, since bytes need time to leave. */
     private static final long MARGIN_US = 150_000;
     /**
      * The list that a process starts with is as old as the end of the process before it: the platform starts anew within
-     * 1.5 s, and the program needs half a second.
+     * 1.5 s, and the program needs half a second, where nothing more is known of it.
      */
     private static final long RESTART_US = 2_000_000;
+    /** The same until the program's own code runs: the JVM needs up to 0.2 s on half a core. */
+    private static final long LAUNCH_US = 1_700_000;
     /**
      * A cycle takes this part of the time in which a change counts as told: the last in it has the rest to wait for its
      * turn at discovery.
@@ -58,14 +64,25 @@
      * So long a process that starts waits for the end of its first call before it sends anything on the list of the one
      * before it. A zone's schedulers that come back together were all told in a little over a second; a job has longer.
      */
-    private static final long FIRST_ANSWER_US = 1_500_000;
+    public static final long FIRST_ANSWER_US = 1_500_000;
 
     /**
      * A call that fails tells nothing by itself: discovery answers alike when it is down and when it has too many calls,
-     * such as those of a herd that starts again. An outage of eight seconds (FLEET) and a herd behind it make three
-     * failures in a row, a cycle apart; one more tells of an outage that lasts, and the list is used again.
+     * such as those of schedulers that start again behind an outage. Only what has failed for longer than both can last
+     * tells of an outage that goes on, and the list is used again: 8 s of an outage (FLEET), some 4 s until those who were
+     * killed have started again, and the wait of 2 s by which a call fails.
      */
-    private static final int FAILURES_OF_AN_OUTAGE = 4;
+    private static final long SHORT_OUTAGE_US = 14_000_000;
+    /**
+     * On top, the time in which a fleet that starts again gets through to discovery, for each scheduler. In a model of
+     * discovery (DiscoveryWatchTest) the last calls of 20 fail 31 s after the outage began.
+     */
+    private static final long RESTARTED_FLEET_US = 900_000;
+    /**
+     * Discovery serves no more schedulers than this within a cycle and the wait by which a call fails: some 0.3 s each in a
+     * small fleet, 7 s for all in a large one. Behind an outage of any length calls of larger fleets fail for want of time.
+     */
+    private static final int MOST_SERVED_IN_TIME = 14;
 
     /** Slots lie in the order of the multiples of this: those of any run of numbers are spread over the cycle. */
     private static final double GOLDEN_RATIO = (Math.sqrt(5) - 1) / 2;
@@ -77,9 +94,15 @@
     private int number;
     private State state = State.WAITING;
     private int failures;
+    /** When the watch was lost or the first call failed, if discovery was not heard since. */
+    private long failingSince = Long.MAX_VALUE;
     private long usableFrom = Long.MIN_VALUE;
     private long calledAt;
     private long validUntil = Long.MAX_VALUE;
+    /** Discovery has moved and was not heard at its new address: until then the list of the old one holds at the most. */
+    private long movedUntil = Long.MAX_VALUE;
+    /** The operators have asked for a reload, and the configuration, which may name another address, was not read yet. */
+    private long unreadUntil = Long.MAX_VALUE;
 
     /**
      * A watch that has not been begun; until {@link #start} its list may be used without bound.
@@ -113,6 +136,36 @@
         return nowUs + (long) (Math.min(FIRST_CALL_US, SMALL_FLEET_FIRST_CALL_US * schedulers) * random);
     }
 
+    /**
+     * The process that began with that list was launched then; a start may take long, and the list grows older. Changes
+     * nothing where the watch was not begun.
+     */
+    public void launched(long launchedUs) {
+        if (validUntil < Long.MAX_VALUE) {
+            validUntil = Math.min(validUntil, launchedUs + toldUs + graceUs - Math.min(LAUNCH_US, toldUs / 2));
+        }
+    }
+
+    /** The operators asked then for a reload that moved discovery to another address; of several the earliest counts. */
+    public void moved(long sinceUs) {
+        movedUntil = Math.min(movedUntil, sinceUs + MOVED_TOLD_US + graceUs);
+    }
+
+    /** Discovery has told its list at its new address. */
+    public void heardWhereItMoved() {
+        movedUntil = Long.MAX_VALUE;
+    }
+
+    /** The operators asked then for a reload, and the configuration cannot be read: discovery may have moved. */
+    public void configurationUnread(long sinceUs) {
+        unreadUntil = Math.min(unreadUntil, sinceUs + MOVED_TOLD_US + graceUs);
+    }
+
+    /** The configuration was read, or refused for what it says: the address is known. */
+    public void configurationRead() {
+        unreadUntil = Long.MAX_VALUE;
+    }
+
     /** A call has gone out. */
     public void called(long nowUs) {
         if (state != State.OPEN) { // a second timer finds the watch open, and leads to no call
@@ -126,6 +179,7 @@
         state = State.OPEN;
         usableFrom = Long.MIN_VALUE;
         failures = 0;
+        failingSince = Long.MAX_VALUE;
         validUntil = Long.MAX_VALUE;
     }
 
@@ -136,9 +190,14 @@
      * @param random  a random number from 0 up to but not including 1
      */
     public long lost(Loss loss, long heardUs, long nowUs, double random) {
+        if (loss == Loss.NOT_CALLED) { // it costs discovery nothing to try again soon, and the list grows older
+            state = State.WAITING;
+            return nowUs + AT_ONCE_US / 2 + (long) (AT_ONCE_US * random);
+        }
         boolean wasOpen = state == State.OPEN;
         state = State.WAITING;
         usableFrom = Long.MIN_VALUE;
+        failingSince = Math.min(failingSince, nowUs);
         if (wasOpen) {
             validUntil = heardUs + toldUs + graceUs;
             return loss == Loss.SILENT ? nowUs + (long) (AT_ONCE_US * random)
@@ -146,17 +205,31 @@
         }
         long earliest = nowUs + backOff(random);
         failures++;
-        if (loss == Loss.UNREACHABLE || failures >= FAILURES_OF_AN_OUTAGE) { // nothing before the call counts yet
+        if (loss == Loss.UNREACHABLE || isOutage()) { // nothing before the call counts yet
             validUntil = Math.max(validUntil, calledAt + toldUs + graceUs);
+            movedUntil = Long.MAX_VALUE;
         }
         long next = calledAt + cycle();
         boolean ahead = next > nowUs + AT_ONCE_US / 2;
         return slot(ahead ? Math.min(earliest, next) : earliest); // a back-off skips no slot
     }
 
+    /**
+     * Where lists are pushed, what has come to this machine counts as told whether it was read or not: if it cannot be
+     * read, the last list holds for the grace and no longer.
+     */
+    public void unread(long nowUs) {
+        validUntil = Math.min(validUntil, nowUs + graceUs);
+    }
+
     /** Whether the last list holds; where it does not, nothing can be sent until discovery is heard again. */
     public boolean isValid(long nowUs) {
-        return nowUs < validUntil;
+        return nowUs < validUntil && nowUs < movedUntil && nowUs < unreadUntil;
+    }
+
+    /** Whether a job may wait: the last list holds, or the first call of a process that starts may bring one any moment. */
+    public boolean mayWait(long nowUs) {
+        return isValid(nowUs) || nowUs < usableFrom;
     }
 
     /** Whether workers may be sent to by the last list now; a process that has just started waits for its first call. */
@@ -164,6 +237,12 @@
         return nowUs >= usableFrom && isValid(nowUs);
     }
 
+    /** Whether calls have failed for longer than a short outage and all that comes behind it can last. */
+    private boolean isOutage() {
+        long longest = SHORT_OUTAGE_US + RESTARTED_FLEET_US * schedulers;
+        return schedulers <= MOST_SERVED_IN_TIME && calledAt - failingSince >= longest;
+    }
+
     private long backOff(double random) {
         long wait = BACK_OFF_US << Math.min(failures, MOST_DOUBLINGS);
         wait = Math.min(wait, Math.max(BACK_OFF_US, askEveryUs / 2));
--- a/src/main/java/damsonslip/net/Link.java
+++ b/src/main/java/damsonslip/net/Link.java
@@ -34,6 +34,20 @@
     /** So much is read from a peer at one go, however fast it sends; then others have their turn. */
     private static final int MOST_AT_ONCE = 64 * 1024;
 
+    /**
+     * What a request may have waited here unseen without its being counted. A worker may be told 0.15 s more than the
+     * client has (STANDING); a third of that is kept for the time from the look to the write. Where nothing holds the
+     * process up, two rounds of the selector stay below this, and nothing is taken from anybody.
+     */
+    static final long TOLERATED_WAIT_US = 100_000;
+
+    /** What a read gives at the end of the stream; less is {@link LoopEndPoint#NOT_NOW}. */
+    private static final int END = -1;
+
+    /** A read that the system could not make is made again; so many in a row leave the rest to a later turn. */
+    private static final int MOST_TRIES = 4;
+    private static final long TRY_AGAIN_US = 1_000;
+
     private static final ByteBuffer[] NOTHING = {};
 
     private record Out(ByteBuffer[] bytes, Runnable written) { }
@@ -48,9 +62,13 @@
     /** What is being written; its buffers show what the system has not taken yet. */
     private ByteBuffer[] current = NOTHING;
     private boolean closed;
+    private boolean endedByPeer;
     private boolean closeWhenWritten;
     private boolean lingering;
     private int dropped;
+    /** Bytes read and written until now, or what stands for them; a look that changes it has found something. */
+    private long progress;
+    private long progressAtLastLook;
 
     protected Link(EndPoint endPoint, Loop loop) {
         this(endPoint, loop, IN_BUFFER);
@@ -93,6 +111,26 @@
         }
     }
 
+    /**
+     * Reads and writes what the selector has not told of, if nothing has moved since the last look. Guards against a socket
+     * that the system does not watch, because it had no memory for that (epoll_ctl(2)): such a socket says nothing.
+     */
+    final void lookBehindSelector() {
+        boolean quiet = progress == progressAtLastLook;
+        if (quiet && !closed && getEndPoint() instanceof LoopEndPoint endPoint) {
+            if (writing) {
+                endPoint.tryWriting();
+            }
+            if (isFillInterested()) {
+                read();
+            }
+            if (progress != progressAtLastLook && !closed) {
+                endPoint.watchAnew();
+            }
+        }
+        progressAtLastLook = progress;
+    }
+
     /** Whether only the peer's goodbye is awaited. */
     public final boolean isLingering() {
         return lingering;
@@ -127,10 +165,15 @@
         if (closeWhenWritten) { // it has been asked before
             end();
         } else {
-            endWhenWritten();
+            endUnserved();
         }
     }
 
+    /** Ends it in good order between requests; who has sent a part of one may be owed a word about it. */
+    protected void endUnserved() {
+        endWhenWritten();
+    }
+
     private void linger() {
         if (!closed && !lingering) {
             lingering = true;
@@ -161,6 +204,16 @@
         return String.valueOf(getEndPoint().getRemoteSocketAddress());
     }
 
+    /** When what was read last had come at the earliest: until then there was nothing to read. */
+    protected final long arrivedAfterUs() {
+        return getEndPoint() instanceof LoopEndPoint endPoint ? endPoint.arrival().arrivedAfterUs() : loop.now();
+    }
+
+    /** When what was read last counts as come: now, unless it may have waited here for longer than is tolerated. */
+    protected final long arrivalUs() {
+        return Math.min(loop.now(), arrivedAfterUs() + TOLERATED_WAIT_US);
+    }
+
     /** Bytes that the system has not taken yet. */
     protected final long backlog() {
         return (writing ? BufferUtil.remaining(current) : 0)
@@ -196,6 +249,7 @@
 
         @Override
         public void succeeded() {
+            progress++;
             writing = false;
             current = NOTHING; // a link that is kept would keep its last message's room as well
             if (!closed) {
@@ -263,11 +317,15 @@
         int most = MOST_AT_ONCE;
         try {
             while (!closed && !full && room()) {
-                int got = getEndPoint().fill(in);
-                if (got < 0) {
+                int got = fill();
+                if (got == END) {
                     broken();
                     return;
                 }
+                if (got < END) {
+                    loop.in(TRY_AGAIN_US, this::readOn);
+                    return;
+                }
                 if (lingering) {
                     BufferUtil.clear(in);
                     dropped += got;
@@ -301,6 +359,20 @@
         }
     }
 
+    /** Reads once; below {@link #END} if the system could not, again and again. */
+    private int fill() throws IOException {
+        long beforeUs = loop.now();
+        int got = getEndPoint().fill(in);
+        for (int i = 0; got < END && i < MOST_TRIES; i++) {
+            got = getEndPoint().fill(in);
+        }
+        progress += Math.max(0, got);
+        if (got == 0 && getEndPoint() instanceof LoopEndPoint endPoint) {
+            endPoint.arrival().seenEmpty(beforeUs);
+        }
+        return got;
+    }
+
     private void awaitMore() {
         if (!isFillInterested()) {
             fillInterested();
@@ -340,9 +412,15 @@
         }
     }
 
+    /** Whether the other side, or the network, has ended it. */
+    protected final boolean isEndedByPeer() {
+        return endedByPeer;
+    }
+
     private void broken() {
         if (!closed) {
             closed = true;
+            endedByPeer = true;
             getEndPoint().close();
             released();
             lost();
--- a/src/main/java/damsonslip/net/Links.java
+++ b/src/main/java/damsonslip/net/Links.java
@@ -4,20 +4,22 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.net.StandardSocketOptions;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
-import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.Selector;
 import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
 import org.eclipse.jetty.io.SelectorManager;
-import org.eclipse.jetty.io.SocketChannelEndPoint;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -25,7 +27,6 @@
 /** Opens and accepts {@link Link}s, over one selector of Jetty's. */
 public final class Links extends SelectorManager {
     private static final Logger LOG = LoggerFactory.getLogger(Links.class);
-    private static final int BACKLOG = 512;
     /**
      * What the system may hold of a message for a server that does not take it. Small, so that the last byte of a large
      * one has not left while the peer stands still; a head and the usual body fit in several times.
@@ -40,17 +41,38 @@
      */
     private static final int MOST_THREADS = 4;
 
+    /**
+     * The selector looks this often though nothing happens. So it is known of every socket that it was empty two rounds ago
+     * at the latest, and only a process that was held up has to reckon with more ({@link Link#TOLERATED_WAIT_US}).
+     */
+    private static final long ROUND_MS = 40;
+    /** A round that took so long was held up: what comes behind it would count as old as its begin. */
+    private static final long HELD_UP_US = 2 * ROUND_MS * 1_000;
+
+    /**
+     * Sockets that stay quiet are looked at this often, since the system may not watch them (epoll_ctl(2)). Below the half
+     * second by which an answer may be late at the most (STANDING).
+     */
+    private static final long LOOK_US = 400_000;
+
     private final Loop loop;
-    private final Map<SocketAddress, Accepting> accepting = new ConcurrentHashMap<>();
+    private final RoundClock rounds;
+    /** All that were opened, and some that are closed since the last look; touched on the loop. */
+    private final List<Link> open = new ArrayList<>();
+    private final Listeners listeners;
     /** Accepted, and not yet set up. */
-    private final Map<SelectableChannel, Accepting> admitted = new ConcurrentHashMap<>();
+    private final Map<SelectableChannel, Admission> admitted = new ConcurrentHashMap<>();
+    private volatile ManagedSelector selector;
+
+    /** A connection that was accepted, and when it has come at the earliest. */
+    private record Admission(ListeningSocket listener, long arrivedAfterUs) { }
 
     /** Makes the link for a connection that is up. */
     public interface Opening {
         Link open(EndPoint endPoint);
 
         /** The connection never came up; told on the loop. */
-        default void failed() { }
+        default void failed(DialFailure why) { }
     }
 
     /** Decides on connections that come in. */
@@ -63,21 +85,45 @@
     }
 
     private Links(Loop loop) {
-        super(Executors.newFixedThreadPool(MOST_THREADS, Links::thread),
-            new ScheduledExecutorScheduler(loop.executor()), 1);
+        super(threads(), new ScheduledExecutorScheduler(loop.executor()), 1);
         this.loop = loop;
+        this.rounds = new RoundClock(loop::now);
+        this.listeners = new Listeners(loop, () -> selector, this::accepted);
+    }
+
+    /** Starts the selector; waits where the system has no descriptors to give just now. Not to be called on the loop. */
+    public static Links start(Loop loop, long connectTimeoutMs) throws IOException {
+        Links links = SocketShortage.outlast(() -> started(loop, connectTimeoutMs));
+        loop.in(LOOK_US, links::lookBehindSelector);
+        return links;
     }
 
-    /** Starts the selector. */
-    public static Links start(Loop loop, long connectTimeoutMs) {
+    private static Links started(Loop loop, long connectTimeoutMs) throws IOException {
         Links links = new Links(loop);
         links.setConnectTimeout(connectTimeoutMs);
         try {
             links.start();
+            return links;
+        } catch (IOException | RuntimeException e) {
+            throw e;
         } catch (Exception e) { // Jetty declares no narrower type
             throw new IllegalStateException("the selector did not start", e);
         }
-        return links;
+    }
+
+    private void lookBehindSelector() {
+        open.removeIf(Link::isClosed);
+        List.copyOf(open).forEach(Link::lookBehindSelector);
+        selector.submit(listeners::acceptUnnoticed);
+        loop.in(LOOK_US, this::lookBehindSelector);
+    }
+
+    /** All are there from the start: one that cannot be started later would cost the connection that asked for it. */
+    private static ThreadPoolExecutor threads() {
+        ThreadPoolExecutor threads = new ThreadPoolExecutor(MOST_THREADS, MOST_THREADS, 0, TimeUnit.SECONDS,
+            new LinkedBlockingQueue<>(), Links::thread);
+        threads.prestartAllCoreThreads();
+        return threads;
     }
 
     private static Thread thread(Runnable task) {
@@ -90,78 +136,24 @@
         return loop;
     }
 
-    /** Listens there until the result is closed. */
+    /**
+     * Listens there until the result is closed; waits where the system has no socket to give just now. Not to be called on
+     * the loop.
+     */
     public Closeable listen(InetSocketAddress address, Accepting taker) throws IOException {
-        Door door = open(address, taker, false);
-        return () -> {
-            door.acceptor.close();
-            door.server.close();
-        };
+        return SocketShortage.outlast(() -> open(address, taker, false));
     }
 
     /**
-     * Listens there until the door is shut.
+     * Listens there until the listener is shut.
      *
      * @param shared whether another process may listen there as well
      */
-    public Door open(InetSocketAddress address, Accepting taker, boolean shared) throws IOException {
-        ServerSocketChannel server = ServerSocketChannel.open();
-        try {
-            server.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-            if (shared) {
-                server.setOption(StandardSocketOptions.SO_REUSEPORT, true);
-            }
-            server.bind(address, BACKLOG);
-            server.configureBlocking(false);
-        } catch (IOException | RuntimeException e) {
-            server.close();
-            throw e;
-        }
-        accepting.put(server.getLocalAddress(), taker);
-        return new Door(server, acceptor(server));
-    }
-
-    /** A listening socket that can be shut without turning anybody away who is before it already. */
-    public final class Door {
-        private static final long LOOK_US = 1_000;
-        private final ServerSocketChannel server;
-        private final Closeable acceptor;
-
-        private Door(ServerSocketChannel server, Closeable acceptor) {
-            this.server = server;
-            this.acceptor = acceptor;
-        }
-
-        /**
-         * Shuts it; called on the loop. Guards against connections that the system has accepted and nobody has taken: a
-         * close resets them. The JVM puts the close off until the selector has let go of the socket, and all who come
-         * until then would be lost; so the selector lets go first, then all are taken, and the close follows at once.
-         */
-        public void shut() {
-            try {
-                acceptor.close();
-                letGo();
-            } catch (IOException e) {
-                LOG.warn("the listener did not close: {}", e.getMessage());
-            }
-        }
-
-        private void letGo() {
-            boolean free = !server.isRegistered();
-            try {
-                for (SocketChannel next = server.accept(); next != null; next = server.accept()) {
-                    accepted(next);
-                }
-                if (free) {
-                    server.close();
-                }
-            } catch (IOException e) {
-                LOG.warn("the listener did not close: {}", e.getMessage());
-            }
-            if (!free) {
-                loop.in(LOOK_US, this::letGo);
-            }
-        }
+    public ListeningPort open(InetSocketAddress address, Accepting taker, boolean shared) throws IOException {
+        ListeningSocket socket = listeners.bind(address, taker, shared, new ArrivalBound(rounds, loop.now()));
+        Closeable acceptor = acceptor(socket.server());
+        selector.submit(watching -> socket.queue().watched(true)); // behind the acceptor's own registration
+        return new ListeningPort(loop, listeners, socket, acceptor);
     }
 
     /**
@@ -179,30 +171,43 @@
             if (channel.connect(address)) {
                 accept(channel, opening);
             } else {
-                connect(channel, opening);
+                connect(channel, new PendingDial(channel, opening, loop, getConnectTimeout() * 1_000));
             }
         } catch (IOException | RuntimeException e) {
             close(channel);
-            loop.execute(opening::failed);
+            DialFailure why = DialFailure.of(e);
+            loop.execute(() -> opening.failed(why));
         }
         SocketChannel dialled = channel;
         return () -> close(dialled);
     }
 
+    /**
+     * Takes the next connection on the selector's thread. Where the system refuses, this says that nobody waits: Jetty
+     * answers a failure by closing the connection that it accepted before, whose request would be lost.
+     */
+    @Override
+    protected SelectableChannel doAccept(SelectableChannel server) {
+        return listeners.acceptNext(server);
+    }
+
     @Override
     protected void accepted(SelectableChannel channel) throws IOException {
         SocketChannel accepted = (SocketChannel) channel;
-        Accepting taker = accepting.get(accepted.getLocalAddress());
-        if (taker == null || !taker.admit()) {
+        accepted(accepted, listeners.at(accepted.getLocalAddress()));
+    }
+
+    private void accepted(SocketChannel channel, ListeningSocket listener) throws IOException {
+        if (listener == null || !listener.taker().admit()) {
             close(channel);
             return;
         }
-        admitted.put(channel, taker);
+        admitted.put(channel, new Admission(listener, listener.queue().arrivedAfterUs()));
         try {
-            accepted.configureBlocking(false);
-            accepted.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            accepted.setOption(StandardSocketOptions.SO_SNDBUF, ANSWER_BUFFER);
-            accept(channel, taker);
+            channel.configureBlocking(false);
+            channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            channel.setOption(StandardSocketOptions.SO_SNDBUF, ANSWER_BUFFER);
+            accept(channel, listener.taker());
         } catch (IOException | RuntimeException e) {
             onAcceptFailed(channel, e);
             throw e;
@@ -211,46 +216,46 @@
 
     @Override
     protected void onAcceptFailed(SelectableChannel channel, Throwable cause) {
-        Accepting taker = admitted.remove(channel);
-        if (taker != null) {
-            taker.turnedBack();
+        Admission admission = admitted.remove(channel);
+        if (admission != null) {
+            admission.listener().taker().turnedBack();
         }
     }
 
+    /** The selector, in rounds of bounded length whose times are known. */
     @Override
-    protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
-        return new SocketChannelEndPoint((SocketChannel) channel, selector, key, getScheduler()) {
-            /**
-             * The selector tells what a connection is ready for; that is then done on the loop. Guards against a write that
-             * is finished on the selector's thread and told of later than it happened: a reset that is read in between
-             * would find that the last byte had not left, and what must run once would be sent elsewhere.
-             */
+    protected ManagedSelector newSelector(int id) {
+        selector = new ManagedSelector(this, id) {
             @Override
-            public Runnable onSelected() {
-                Runnable ready = super.onSelected();
-                if (ready != null) {
-                    loop.execute(() -> {
-                        if (getConnection() instanceof Link link) {
-                            link.selected();
-                        }
-                        ready.run();
-                    });
-                }
-                return null;
+            protected int nioSelect(Selector asked, boolean now) throws IOException {
+                rounds.begins();
+                boolean heldUp = rounds.lastTookUs() > HELD_UP_US; // then at once a round that is known to be short
+                return now || heldUp ? asked.selectNow() : asked.select(ROUND_MS);
             }
         };
+        return selector;
+    }
+
+    @Override
+    protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selecting, SelectionKey key) {
+        Admission admission = admitted.get(channel);
+        long afterUs = admission == null ? loop.now() : admission.arrivedAfterUs();
+        return new LoopEndPoint((SocketChannel) channel, selecting, new RearmableKey(key), getScheduler(), loop,
+            new ArrivalBound(rounds, afterUs));
     }
 
     @Override
     public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment) {
         admitted.remove(channel);
-        return ((Opening) attachment).open(endPoint);
+        Link link = ((Opening) attachment).open(endPoint);
+        loop.execute(() -> open.add(link));
+        return link;
     }
 
     @Override
     protected void connectionFailed(SelectableChannel channel, Throwable ex, Object attachment) {
         close(channel);
-        loop.execute(((Opening) attachment)::failed);
+        loop.execute(() -> ((Opening) attachment).failed(DialFailure.UNREACHABLE));
     }
 
     private static void close(SelectableChannel channel) {
--- /dev/null
+++ b/src/main/java/damsonslip/net/PendingDial.java
@@ -0,0 +1,54 @@
+package damsonslip.net;
+
+import damsonslip.core.Loop;
+import java.io.IOException;
+import java.nio.channels.SocketChannel;
+import org.eclipse.jetty.io.EndPoint;
+
+/**
+ * A connection on its way. The system may not watch it (epoll_ctl(2) fails for lack of memory), or the selector may be held
+ * up; then nothing is heard when it comes up, and its time limit passes. That says nothing of the other side.
+ */
+final class PendingDial implements Links.Opening {
+    /** It is looked at this long before its limit. */
+    private static final long LOOK_BEFORE_US = 20_000;
+
+    private final SocketChannel channel;
+    private final Links.Opening opening;
+    private final Loop.Timer look;
+    private boolean failed;
+
+    PendingDial(SocketChannel channel, Links.Opening opening, Loop loop, long limitUs) {
+        this.channel = channel;
+        this.opening = opening;
+        this.look = loop.in(limitUs - LOOK_BEFORE_US, this::lookBehindSelector);
+    }
+
+    /** What is found here the selector does not find any more, and its limit passes without a word: so it ends here. */
+    private void lookBehindSelector() {
+        try {
+            if (channel.isConnectionPending() && channel.finishConnect()) {
+                channel.close();
+                failed(DialFailure.UNHEARD);
+            }
+        } catch (IOException e) {
+            failed(DialFailure.UNREACHABLE); // refused or reset, as the selector would have told
+        }
+    }
+
+    @Override
+    public Link open(EndPoint endPoint) {
+        look.cancel();
+        return opening.open(endPoint);
+    }
+
+    /** Told on the loop; the look and the selector may both find a failure. */
+    @Override
+    public void failed(DialFailure why) {
+        look.cancel();
+        if (!failed) {
+            failed = true;
+            opening.failed(why);
+        }
+    }
+}
--- a/src/main/java/damsonslip/net/Room.java
+++ b/src/main/java/damsonslip/net/Room.java
@@ -2,8 +2,10 @@
 
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Predicate;
@@ -64,11 +66,36 @@
         int staying = open.size() - lingering.size();
         lingering.stream().limit(Math.max(0, lingering.size() - overflow / 2)).forEach(Link::end);
         if (staying > most) {
-            open.stream().filter(other -> other != link && !other.isLingering()).filter(mayGo).min(missed).orElse(link)
-                .makeWay();
+            makeRoom(link);
         }
     }
 
+    /** Ends the one that is missed least; the newest if all others are needed, and nobody if that is needed as well. */
+    private void makeRoom(L newest) {
+        Set<L> needed = new HashSet<>();
+        needed.add(newest);
+        boolean made = false;
+        while (!made) {
+            Optional<L> next = open.stream().filter(other -> !other.isLingering() && !needed.contains(other)).filter(mayGo)
+                .min(missed);
+            made = makeWay(next.orElse(newest)) || next.isEmpty();
+            next.ifPresent(needed::add);
+        }
+    }
+
+    /**
+     * Ends this one, unless it turns out to be needed. Guards against the loss of a request that has come and that nobody
+     * has read yet: an end would drop it.
+     */
+    private boolean makeWay(L link) {
+        link.look();
+        boolean goes = !link.isClosed() && mayGo.test(link);
+        if (goes) {
+            link.makeWay();
+        }
+        return goes || link.isClosed();
+    }
+
     public void closed(L link) {
         open.remove(link);
         held.decrementAndGet();
--- a/src/main/java/damsonslip/overrides/WorkerOverrides.java
+++ b/src/main/java/damsonslip/overrides/WorkerOverrides.java
@@ -73,6 +73,11 @@
         return lastListed.containsKey(id) || disabled.contains(id);
     }
 
+    /** What the newest list that named this worker says of it, without the overrides; null if none has. */
+    public Worker listed(String id) {
+        return lastListed.get(id);
+    }
+
     /** Whether an operator has disabled this worker. */
     public boolean isDisabled(String id) {
         return disabled.contains(id);
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -1,8 +1,10 @@
 package damsonslip.platform;
 
+import damsonslip.Dispatch.AddressNews;
 import damsonslip.core.Counters;
 import damsonslip.core.Counters.Count;
 import damsonslip.core.Driver;
+import damsonslip.core.EventLog.Kind;
 import damsonslip.core.Front;
 import damsonslip.core.Leave;
 import damsonslip.core.Loop;
@@ -13,17 +15,22 @@
 import damsonslip.draining.ShutdownTimes;
 import damsonslip.handover.SharedDirectory;
 import damsonslip.handover.UpgradeCoordinator;
+import damsonslip.invariants.StartGuard;
 import damsonslip.management.ManagementServer;
 import damsonslip.net.Address;
 import damsonslip.net.Links;
+import damsonslip.net.ListeningPort;
+import damsonslip.net.SocketShortage;
 import damsonslip.peers.PeerProcesses;
 import damsonslip.platform.clients.ClientSide;
 import damsonslip.platform.servers.HostGroup;
 import damsonslip.platform.servers.ServerSide;
 import damsonslip.settings.BadInput;
 import damsonslip.settings.NodeConfig;
+import damsonslip.settings.UnreadableFile;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
 import java.util.Collections;
@@ -52,6 +59,13 @@
      */
     private static final long BEGIN_MS = 30_000;
 
+    /** A file that is just being written is whole within this time; one that is not has been meant so. */
+    private static final long TORN_FILE_MS = 1_000;
+    /** So long until a file that could not be read is tried again: short beside the 1.5 s for which discovery stays. */
+    private static final long RELOAD_AGAIN_MS = 100;
+    /** So long until a folder that could not be used is tried again. */
+    private static final long FOLDER_AGAIN_US = 1_000_000;
+
     /** The exit waits so long at the most for its mark to go. */
     private static final long LAST_TASK_MS = 100;
 
@@ -64,8 +78,11 @@
     private final ShutdownTimes stopTimes;
     private ClientSide clients;
     private ServerSide servers;
-    private Links.Door door;
+    private ListeningPort listener;
     private UpgradeCoordinator handover;
+    /** Bans outlive the process, and hold in all others of this scheduler, by way of a folder. */
+    private boolean keepsBans;
+    private boolean folderTried;
 
     public Platform(Loop loop, Phase phase, Counters counters, NodeConfig config,
                     Map<String, String> environment) {
@@ -76,6 +93,7 @@
         this.environment = environment;
         this.stopTimes = ShutdownTimes.of(longestDeadlineUs());
         this.driver = new Driver(config.site().settings(), config.seed(), loop, counters);
+        phase.onChange(() -> loop.execute(() -> driver.events().add(loop.now(), Kind.PHASE, "", phase.state(), 0)));
     }
 
     @Override
@@ -86,40 +104,70 @@
         clients = new ClientSide(links, config.site(), driver, phase, counters, rest(1) / 2, overflow(1));
         servers = new ServerSide(links, config.site(), driver, counters, discovery, rest(1) / 2);
         HostGroup.Update known = known(servers.hosts());
-        SharedDirectory folder = folder();
-        handover = folder == null ? null : new UpgradeCoordinator(folder, loop, driver, this::divided);
+        Path folder = folder();
+        keepsBans = folder != null;
         CompletableFuture<Boolean> open = new CompletableFuture<>();
-        loop.execute(() -> begin(known, listen, open));
+        loop.execute(() -> begin(known, listen, folder, open));
         if (!serving(open)) {
             return; // told to end before anybody could come
         }
-        if (handover != null) {
-            folder.markServing();
-        }
         LOG.info("{} listens on {}, {} workers known", config.name(), config.listen(), known.entries().size());
     }
 
-    private void begin(HostGroup.Update known, InetSocketAddress listen, CompletableFuture<Boolean> open) {
+    private void begin(HostGroup.Update known, InetSocketAddress listen, Path folder, CompletableFuture<Boolean> open) {
         driver.begin(servers, servers.begin(known));
-        if (handover != null) {
-            handover.begin(); // the bans, and who else sends, before the first query
+        if (folder != null) {
+            openFolder(folder); // the bans, and who else sends, before the first query
         }
-        servers.whenTold(() -> open(listen, open));
+        boolean relieved = handover != null && handover.refresh().processes() > 1;
+        servers.whenTold(relieved, () -> open(listen, folder != null, open));
     }
 
-    /** On the loop, where a stop is told as well: it finds the door open, and shuts it, or keeps it from opening. */
-    private void open(InetSocketAddress listen, CompletableFuture<Boolean> open) {
+    /** On the loop, where a stop is told as well: it finds the listener open, and shuts it, or keeps it from opening. */
+    private void open(InetSocketAddress listen, boolean shared, CompletableFuture<Boolean> open) {
         try {
+            driver.monitor().permits(StartGuard.check(new StartGuard.Facts(driver.isBegun(), !shared || folderTried)));
             phase.moveTo(State.SERVING); // nobody who comes shall have to wait
             if (phase.is(State.SERVING)) {
-                door = clients.listen(listen, handover != null);
+                listener = clients.listen(listen, shared);
+                if (handover != null) {
+                    handover.markServing();
+                }
+            }
+            open.complete(listener != null);
+        } catch (IOException e) {
+            if (SocketShortage.mayPass(e)) {
+                loop.in(SocketShortage.AGAIN_MS * 1_000, () -> open(listen, shared, open));
+            } else {
+                open.completeExceptionally(e);
             }
-            open.complete(door != null);
-        } catch (IOException | RuntimeException e) {
+        } catch (RuntimeException e) {
             open.completeExceptionally(e);
         }
     }
 
+    /**
+     * Opens the folder where processes of one scheduler meet. A full or failing disk does not keep this one from serving:
+     * it goes on alone, and tries again.
+     */
+    private void openFolder(Path folder) {
+        if (phase.atLeast(State.FINISHING)) {
+            return;
+        }
+        folderTried = true;
+        try {
+            handover = new UpgradeCoordinator(new SharedDirectory(folder), loop, driver, this::divided);
+        } catch (IOException e) {
+            LOG.warn("event=folder_unusable folder={} error=\"{}\"", folder, e.getMessage());
+            loop.in(FOLDER_AGAIN_US, () -> openFolder(folder));
+            return;
+        }
+        handover.begin();
+        if (phase.atLeast(State.SERVING)) {
+            handover.markServing();
+        }
+    }
+
     private static boolean serving(CompletableFuture<Boolean> open) throws IOException {
         try {
             return open.get(BEGIN_MS, TimeUnit.MILLISECONDS);
@@ -133,17 +181,21 @@
         }
     }
 
-    /** The folder where processes of one scheduler meet, if there may be another one. */
-    private SharedDirectory folder() throws BadInput {
+    /** The folder where processes of one scheduler meet; null if there cannot be another one. */
+    private Path folder() throws BadInput {
         String path = environment.getOrDefault("TMPDIR", "");
         if (config.mgmt().isBlank() || path.isBlank()) {
             return null;
         }
         try {
-            return new SharedDirectory(Path.of(path));
-        } catch (IOException | InvalidPathException e) {
+            Path folder = Path.of(path);
+            if (Files.isDirectory(folder)) {
+                return folder;
+            }
+        } catch (InvalidPathException e) {
             throw new BadInput("config: TMPDIR: cannot be used: " + e.getMessage());
         }
+        throw new BadInput("config: TMPDIR: not a folder: " + path);
     }
 
     private int overflow(int processes) {
@@ -165,10 +217,13 @@
 
     /** Bans hold in all processes of this scheduler, where there may be several. */
     public void change(Runnable bans) throws IOException {
-        if (handover == null) {
-            bans.run();
-        } else {
+        if (handover != null) {
             handover.change(bans);
+            return;
+        }
+        bans.run();
+        if (keepsBans) {
+            throw new IOException("the folder cannot be used");
         }
     }
 
@@ -180,24 +235,55 @@
         }
     }
 
-    /** Follows discovery to where the file names it now; open executions go on, and so does the list as it stands. */
+    /**
+     * Follows discovery to where the file names it now; open executions go on, and so does the list as it stands. Called on
+     * the signal's own thread, which waits where the file cannot be read or used in this moment: the signal does not come
+     * again, and the discovery of before ends. Meanwhile discovery may have moved, and counts from the signal.
+     */
     @Override
-    public void reload() {
-        try {
-            NodeConfig fresh = NodeConfig.read(environment);
-            InetSocketAddress discovery = address("discovery", fresh.discovery());
-            if (!fresh.listen().equals(config.listen()) || !fresh.site().equals(config.site())) {
-                LOG.warn("reload: another listen or other settings take effect at the next start only");
+    public void reload(long signalNs) {
+        long signalUs = loop.timeOf(signalNs);
+        long patienceEndsNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TORN_FILE_MS);
+        boolean refused = false;
+        while (!phase.atLeast(State.FINISHING)) {
+            try {
+                follow(NodeConfig.read(environment), signalUs);
+                return;
+            } catch (BadInput e) {
+                if (!refused) {
+                    LOG.warn("reload: {}; what held before goes on", e.getMessage());
+                    counters.add(Count.RELOADS_REFUSED);
+                    loop.execute(() -> servers.configurationNews(AddressNews.UNREAD, signalUs));
+                    refused = true;
+                }
+                if (!(e instanceof UnreadableFile) && System.nanoTime() > patienceEndsNs || !pause()) {
+                    loop.execute(() -> servers.configurationNews(AddressNews.READ, signalUs));
+                    return;
+                }
             }
-            LOG.info("reload: discovery is at {}", fresh.discovery());
-            counters.add(Count.RELOADS_DONE);
-            loop.execute(() -> servers.discoverAt(discovery));
-        } catch (BadInput e) {
-            LOG.warn("reload: {}; what held before goes on", e.getMessage());
-            counters.add(Count.RELOADS_REFUSED);
         }
     }
 
+    private static boolean pause() {
+        try {
+            Thread.sleep(RELOAD_AGAIN_MS);
+            return true;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    private void follow(NodeConfig fresh, long signalUs) throws BadInput {
+        InetSocketAddress discovery = address("discovery", fresh.discovery());
+        if (!fresh.listen().equals(config.listen()) || !fresh.site().equals(config.site())) {
+            LOG.warn("reload: another listen or other settings take effect at the next start only");
+        }
+        LOG.info("reload: discovery is at {}", fresh.discovery());
+        counters.add(Count.RELOADS_DONE);
+        loop.execute(() -> servers.discoverAt(discovery, signalUs));
+    }
+
     private HostGroup.Update known(HostGroup hosts) throws BadInput {
         if (config.known().isMissingNode() || config.known().isNull()) {
             return new HostGroup.Update(0, true, Collections.emptyList());
@@ -213,7 +299,7 @@
     @Override
     public void leave() {
         loop.execute(() -> {
-            if (door == null) { // nobody could come yet, and nobody will
+            if (listener == null) { // nobody could come yet, and nobody will
                 phase.moveTo(State.ENDED);
                 return;
             }
@@ -247,13 +333,13 @@
     }
 
     private void shut() {
-        door.shut();
+        listener.shut();
         clients.sendAway(succeeded() ? ConnectionDraining.forUpgrade(loop.now(), stopTimes)
             : ConnectionDraining.forShutdown(loop.now()));
     }
 
     private boolean done() {
-        return driver.open() == 0 && clients.gone();
+        return listener.isShut() && driver.open() == 0 && clients.gone();
     }
 
     @Override
--- a/src/main/java/damsonslip/platform/clients/ClientLink.java
+++ b/src/main/java/damsonslip/platform/clients/ClientLink.java
@@ -8,6 +8,7 @@
 import damsonslip.core.SlowPeer;
 import damsonslip.datarate.MinimumDataRate;
 import damsonslip.draining.ConnectionDraining;
+import damsonslip.invariants.CloseGuard;
 import damsonslip.net.Link;
 import damsonslip.net.Outflow;
 import damsonslip.platform.http.Encoder;
@@ -76,7 +77,8 @@
         if (leaving) {
             return;
         }
-        arrivals.waiting(bytes.remaining(), side.loop().now());
+        Arrivals.Arrival now = new Arrivals.Arrival(arrivedAfterUs(), arrivalUs());
+        arrivals.waiting(bytes.remaining(), now);
         if (busy) {
             checkAhead(bytes);
             return;
@@ -84,7 +86,7 @@
         try {
             int before = bytes.remaining();
             QueryHead head = reader.read(bytes);
-            long cameUs = arrivals.read(before - bytes.remaining(), side.loop().now());
+            Arrivals.Arrival came = arrivals.read(before - bytes.remaining(), now);
             if (head != null) {
                 busy = true;
                 whole++;
@@ -92,7 +94,7 @@
                 if (!QueryReader.mayBegin(bytes)) {
                     throw new QueryHead.Bad(400, "longer than it says");
                 }
-                ask(head, cameUs);
+                ask(head, came);
             } else {
                 if (reader.takeContinue()) {
                     write(() -> { }, ByteBuffer.wrap(CONTINUE));
@@ -131,7 +133,7 @@
     private void refuse(QueryHead.Bad bad) {
         busy = true;
         leaving = true;
-        side.bad();
+        side.bad(bad);
         reply(bad.status(), bad.getMessage(), HttpFields.build());
     }
 
@@ -158,13 +160,13 @@
         }
     }
 
-    private void ask(QueryHead head, long cameUs) throws QueryHead.Bad {
+    private void ask(QueryHead head, Arrivals.Arrival came) throws QueryHead.Bad {
         switch (head.path()) {
             case "/api" -> {
                 if (!head.method().equals("POST")) {
                     throw new QueryHead.Bad(405, "POST only");
                 }
-                Query query = head.query(side.site(), cameUs, side.latestUs());
+                Query query = head.query(side.site(), came, side.latestUs());
                 if (query.deadlineUs() <= side.loop().now()) { // its time has passed behind the ones before it
                     reply(503, "out of time", HttpFields.build());
                     return;
@@ -272,11 +274,24 @@
         switch (draining.actionFor(side.loop().now(), busy, reader.midway(), idleSinceUs)) {
             case KEEP -> { }
             case CLOSE -> endIfIdle();
-            case REJECT -> {
-                busy = true;
-                leaving = true;
-                reply(503, "going away", HttpFields.build());
-            }
+            case REJECT -> rejectPart();
+        }
+    }
+
+    /** Answers a request that has partly come, and ends the connection. */
+    private void rejectPart() {
+        busy = true;
+        leaving = true;
+        cancelOverdue();
+        reply(503, "going away", HttpFields.build());
+    }
+
+    @Override
+    protected void endUnserved() {
+        if (!busy && reader.midway()) {
+            rejectPart();
+        } else {
+            endWhenWritten();
         }
     }
 
@@ -296,7 +311,8 @@
 
     /** How much it would be missed: usual clients send at once, get their results, and come back. */
     private int worth() {
-        return isLingering() ? 0 : whole == 0 ? 1 : served == 0 ? 2 : 3;
+        boolean asked = whole > 0 || reader.midway();
+        return isLingering() ? 0 : !asked ? 1 : served == 0 ? 2 : 3;
     }
 
     /** The order in which they go when there is no room. */
@@ -316,6 +332,12 @@
     protected void released() {
         reading.end();
         cancelOverdue();
-        side.closed(this);
+        boolean owed = arrived != null || exchange != null && !exchange.closed();
+        String job = arrived != null ? arrived.id() : exchange != null ? exchange.query().id() : "";
+        side.closed(this, new CloseGuard.Facts(job, owed, isEndedByPeer(), closeReason()));
+    }
+
+    private String closeReason() {
+        return isEndedByPeer() ? "the client has ended it" : isLingering() ? "said goodbye" : "given up";
     }
 }
--- a/src/main/java/damsonslip/platform/clients/ClientSide.java
+++ b/src/main/java/damsonslip/platform/clients/ClientSide.java
@@ -3,6 +3,7 @@
 import damsonslip.core.Counters;
 import damsonslip.core.Counters.Count;
 import damsonslip.core.Driver;
+import damsonslip.core.EventLog.Kind;
 import damsonslip.core.Exchange;
 import damsonslip.core.Loop;
 import damsonslip.core.Phase;
@@ -11,8 +12,10 @@
 import damsonslip.core.SlowPeer;
 import damsonslip.datarate.BufferBudget;
 import damsonslip.draining.ConnectionDraining;
+import damsonslip.invariants.CloseGuard;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
+import damsonslip.net.ListeningPort;
 import damsonslip.net.Outflow;
 import damsonslip.net.Room;
 import damsonslip.settings.Site;
@@ -67,7 +70,7 @@
     }
 
     /** Accepts connections from now on, beside another process where the address is shared. */
-    public Links.Door listen(InetSocketAddress address, boolean shared) throws IOException {
+    public ListeningPort listen(InetSocketAddress address, boolean shared) throws IOException {
         return links.open(address, this, shared);
     }
 
@@ -133,8 +136,10 @@
         room.opened(link);
     }
 
-    void closed(ClientLink link) {
+    void closed(ClientLink link, CloseGuard.Facts how) {
         room.closed(link);
+        driver.events().add(loop().now(), Kind.CLIENT_CLOSED, how.job(), how.reason(), 0);
+        driver.monitor().permits(CloseGuard.check(how));
     }
 
     /**
@@ -185,8 +190,9 @@
         LOG.warn("a client reads nothing of its answer and is let go");
     }
 
-    void bad() {
+    void bad(QueryHead.Bad why) {
         counters.add(Count.QUERIES_BAD);
+        driver.events().add(loop().now(), Kind.REFUSED_AS_BAD, "", why.getMessage(), why.status());
     }
 
     boolean ready() {
--- a/src/main/java/damsonslip/platform/clients/QueryHead.java
+++ b/src/main/java/damsonslip/platform/clients/QueryHead.java
@@ -73,8 +73,8 @@
         return tenant;
     }
 
-    /** The query that this message asks, whose last byte came then; it is answered by the latest time at any rate. */
-    Query query(Site site, long cameUs, long latestUs) throws Bad {
+    /** The query that this message asks, which came then; it is answered by the latest time at any rate. */
+    Query query(Site site, Arrivals.Arrival came, long latestUs) throws Bad {
         String id = plain(Field.ID, needed(Field.ID), ' ');
         int jobClass = site.classNames().indexOf(needed(Field.CLASS));
         if (jobClass < 0) {
@@ -101,7 +101,8 @@
         }
         HttpForward forward = new HttpForward(method, plain("target", target, '!'), plain(Field.KEY, field(Field.KEY), ' '),
             plain("Content-Type", field("Content-Type"), ' '), body);
-        long deadline = Math.min(cameUs + timeLeft, latestUs);
-        return new Query(id, jobClass, tenant, deadline, slots, memory, null, Integer.MAX_VALUE, null, forward);
+        long deadline = Math.min(came.takenUs() + timeLeft, latestUs);
+        return new Query(id, jobClass, tenant, deadline, came.earliestUs() + timeLeft, slots, memory, null,
+            Integer.MAX_VALUE, null, forward);
     }
 }
--- a/src/main/java/damsonslip/platform/servers/Discovery.java
+++ b/src/main/java/damsonslip/platform/servers/Discovery.java
@@ -1,9 +1,11 @@
 package damsonslip.platform.servers;
 
+import damsonslip.Dispatch.AddressNews;
 import damsonslip.Dispatch.ListMode;
 import damsonslip.core.Driver;
 import damsonslip.core.Loop;
 import damsonslip.datarate.MinimumDataRate;
+import damsonslip.net.DialFailure;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
 import damsonslip.platform.http.Encoder;
@@ -33,8 +35,6 @@
     private final Driver driver;
     /** Where lists are pushed, what is there counts as told whether it is watched or not, and asking costs nothing. */
     private static final long PUSHED_AGAIN_US = 50_000;
-    /** What was pushed is there at once; where discovery is down nothing is, and nothing counts as told. */
-    private static final long FIRST_US = 500_000;
 
     private final boolean pushed;
     private InetSocketAddress address;
@@ -55,23 +55,27 @@
         this.pushed = pushed;
     }
 
-    /** Tells once, when the first list has come or it is not worth waiting for any longer. */
-    void whenTold(Runnable next) {
+    /** Tells once, when the first list has come or it was waited for so long. */
+    void whenTold(long mostUs, Runnable next) {
         told = () -> {
             told = () -> { };
             next.run();
         };
-        links.loop().in(FIRST_US, () -> told.run());
+        links.loop().in(mostUs, () -> told.run());
     }
 
     /**
      * Discovery has moved: watches it there at once. Guards against the wait for the old watch to end, during
      * which news would go unheard; the old one counts until the new one is up.
+     *
+     * @param sinceUs when the operators asked for the reload
      */
-    void moveTo(InetSocketAddress next) {
+    void moveTo(InetSocketAddress next, long sinceUs) {
+        driver.discoveryAddress(AddressNews.READ, sinceUs);
         if (!next.equals(address)) {
             address = next;
             unheard = true;
+            driver.discoveryAddress(AddressNews.MOVED, sinceUs);
             connect();
         }
     }
@@ -93,8 +97,14 @@
             }
 
             @Override
-            public void failed() {
-                over(number, "it cannot be reached", ListMode.UNREACHABLE, links.loop().now());
+            public void failed(DialFailure why) {
+                String words = switch (why) {
+                    case UNREACHABLE -> "it cannot be reached";
+                    case LOCAL -> "no socket can be had here";
+                    case UNHEARD -> "its connection came up unheard";
+                };
+                ListMode loss = why == DialFailure.UNREACHABLE ? ListMode.UNREACHABLE : ListMode.NOT_CALLED;
+                over(number, words, loss, links.loop().now());
             }
         });
     }
@@ -106,7 +116,8 @@
             dialling = false;
             if (pushed) {
                 links.loop().in(PUSHED_AGAIN_US, this::watch);
-            } else {
+            }
+            if (!pushed || loss == ListMode.NOT_CALLED) {
                 driver.listLost(loss, heardUs);
             }
         }
@@ -146,7 +157,7 @@
         }
 
         private void heard() {
-            heardUs = links.loop().now();
+            heardUs = arrivedAfterUs(); // what waited here unseen was told when it came, not when it was read
             if (silent != null) {
                 silent.cancel();
             }
@@ -202,8 +213,11 @@
         private void take(String object) {
             try {
                 HostGroup.Update update = hosts.decode(object);
-                unheard &= number != newest;
-                driver.listed(HostGroup.mode(update), hosts.apply(update, links.loop().now()));
+                if (unheard && number == newest) {
+                    unheard = false;
+                    driver.discoveryAddress(AddressNews.HEARD, links.loop().now());
+                }
+                driver.listed(HostGroup.mode(update), hosts.apply(update, arrivedAfterUs()));
             } catch (HostGroup.Malformed e) {
                 fail(e.getMessage());
                 return;
@@ -234,7 +248,7 @@
 
         @Override
         protected void lost() {
-            over(number, "the connection broke", ListMode.FAILED, links.loop().now());
+            over(number, "the connection broke", ListMode.FAILED, arrivedAfterUs());
         }
 
         @Override
--- a/src/main/java/damsonslip/platform/servers/HostGroup.java
+++ b/src/main/java/damsonslip/platform/servers/HostGroup.java
@@ -142,6 +142,12 @@
         return host == null ? null : host.address();
     }
 
+    /** Since when the worker is known to drain or to have gone; {@link Long#MAX_VALUE} if it runs or is unknown. */
+    long stoppedAtUs(String worker) {
+        Host host = hosts.get(worker);
+        return host == null ? RUNNING : host.stoppedAtUs();
+    }
+
     /**
      * Whether bytes may still be sent to a worker. Guards the drain rule where the decision came before the
      * news and the connection only after it.
--- a/src/main/java/damsonslip/platform/servers/ServerLink.java
+++ b/src/main/java/damsonslip/platform/servers/ServerLink.java
@@ -80,12 +80,12 @@
         up.accept(this);
     }
 
-    /** Sends a query to the worker. */
-    void carry(Execution next) {
+    /** Sends a query to the worker, with so much time to do it in. */
+    void carry(Execution next, long toldUs) {
         execution = next;
         HttpForward forward = (HttpForward) next.query().cargo();
         HttpFields.Mutable fields = HttpFields.build().add("Host", "app.svc").add(Field.ID, next.query().id())
-            .add(Field.TIME_LEFT, Field.text(next.endsByUs() - side.loop().now()));
+            .add(Field.TIME_LEFT, Field.text(toldUs));
         if (forward.key() != null) {
             fields.add(Field.KEY, forward.key());
         }
@@ -95,6 +95,11 @@
         begin(Encoder.request(forward.method(), forward.target(), fields, forward.body()));
     }
 
+    /** How long a worker may take itself to be awaited: its client may give up before the scheduler does. */
+    static long toldUs(Execution execution, long nowUs) {
+        return Math.max(0, Math.min(execution.endsByUs(), execution.query().earliestDeadlineUs()) - nowUs);
+    }
+
     /** Asks for the worker's load, and waits for so long at the most. */
     void probe(long timeUs) {
         probing = true;
@@ -133,7 +138,7 @@
             written = true;
             taking.end();
             if (!probing) {
-                side.written();
+                side.written(execution);
             }
         }, request);
         if (!isClosed()) {
@@ -310,6 +315,9 @@
     protected void released() {
         taking.end();
         stopEnding();
+        if (execution != null) {
+            side.closedOver(execution);
+        }
         side.closed(this);
     }
 }
--- a/src/main/java/damsonslip/platform/servers/ServerSide.java
+++ b/src/main/java/damsonslip/platform/servers/ServerSide.java
@@ -1,5 +1,6 @@
 package damsonslip.platform.servers;
 
+import damsonslip.Dispatch.AddressNews;
 import damsonslip.Dispatch.Effect;
 import damsonslip.Dispatch.Outcome;
 import damsonslip.Dispatch.Report;
@@ -7,10 +8,14 @@
 import damsonslip.core.Counters;
 import damsonslip.core.Counters.Count;
 import damsonslip.core.Driver;
+import damsonslip.core.EventLog.Kind;
 import damsonslip.core.Execution;
 import damsonslip.core.Loop;
 import damsonslip.core.SlowPeer;
 import damsonslip.core.WorkerSide;
+import damsonslip.invariants.CloseGuard;
+import damsonslip.membership.DiscoveryWatch;
+import damsonslip.net.DialFailure;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
 import damsonslip.settings.Site;
@@ -42,6 +47,10 @@
     /** An idle link is not used again this close to the worker's own limit, where its close may cross a request. */
     private static final long IDLE_MARGIN_US = 3_000_000;
     private static final long SWEEP_US = 500_000;
+    /** What was pushed is there at once; where discovery is down nothing is, and nothing counts as told. */
+    private static final long PUSHED_FIRST_US = 500_000;
+    /** From then on the module sends by the list of the process before, whether discovery was heard or not. */
+    private static final long ASKED_FIRST_US = DiscoveryWatch.FIRST_ANSWER_US;
     /** Two processes that share the fewest descriptors would have none left; with these each still serves. */
     private static final int FEWEST_LINKS = 8;
     private static final ArrayDeque<ServerLink> NONE = new ArrayDeque<>(0);
@@ -88,13 +97,18 @@
     /**
      * Goes on once what counts as told is known: at once where lists are asked for, else when the first one has been
      * pushed, or nothing has come for a while.
+     *
+     * @param relieved whether another process serves until then: there is time for the first list to come, without which
+     *                 nothing can be sent
      */
-    public void whenTold(Runnable next) {
-        if (site.settings().listOnRequest()) {
-            next.run();
-        } else {
+    public void whenTold(boolean relieved, Runnable next) {
+        if (!site.settings().listOnRequest()) {
             discovery.watch();
-            discovery.whenTold(next);
+            discovery.whenTold(PUSHED_FIRST_US, next);
+        } else if (relieved) {
+            discovery.whenTold(ASKED_FIRST_US, next);
+        } else {
+            next.run();
         }
     }
 
@@ -124,7 +138,12 @@
             return;
         }
         connect(worker, address, execution::open, link -> dialled(link, execution),
-            () -> driver.ended(execution, Execution.End.of(Outcome.NOT_CONNECTED)));
+            why -> driver.ended(execution, Execution.End.of(outcomeOf(why))));
+    }
+
+    /** A machine without sockets says nothing of the worker, which is not to be spared for it. */
+    private static Outcome outcomeOf(DialFailure why) {
+        return why == DialFailure.LOCAL ? Outcome.NEVER_SENT : Outcome.NOT_CONNECTED;
     }
 
     private Effect effect(Execution execution) {
@@ -138,7 +157,7 @@
 
     /** Opens a link; there has to be room for it. */
     private void connect(String worker, InetSocketAddress address, BooleanSupplier awaited, Consumer<ServerLink> up,
-                         Runnable failed) {
+                         Consumer<DialFailure> failed) {
         Dial dial = new Dial(awaited, up, failed);
         dials.add(dial);
         dial.closer = links.connect(address, new Links.Opening() {
@@ -148,8 +167,8 @@
             }
 
             @Override
-            public void failed() {
-                dial.failed();
+            public void failed(DialFailure why) {
+                dial.failed(why);
             }
         });
     }
@@ -158,10 +177,10 @@
     private final class Dial {
         private final BooleanSupplier awaited;
         private final Consumer<ServerLink> up;
-        private final Runnable failed;
+        private final Consumer<DialFailure> failed;
         private Closeable closer;
 
-        Dial(BooleanSupplier awaited, Consumer<ServerLink> up, Runnable failed) {
+        Dial(BooleanSupplier awaited, Consumer<ServerLink> up, Consumer<DialFailure> failed) {
             this.awaited = awaited;
             this.up = up;
             this.failed = failed;
@@ -175,16 +194,16 @@
             }
         }
 
-        void failed() {
+        void failed(DialFailure why) {
             if (dials.remove(this)) {
-                failed.run();
+                failed.accept(why);
             }
         }
 
         void giveUp() {
             dials.remove(this);
             counters.add(Count.SERVER_DIALS_GIVEN_UP);
-            loop().execute(failed);
+            loop().execute(() -> failed.accept(DialFailure.UNREACHABLE)); // it has not come up until now
             try {
                 closer.close();
             } catch (IOException e) {
@@ -220,16 +239,25 @@
             driver.ended(execution, Execution.End.of(Outcome.NOT_CONNECTED));
             return;
         }
+        long toldUs = ServerLink.toldUs(execution, loop().now());
+        if (!driver.permitsSend(execution, toldUs, hosts.stoppedAtUs(execution.worker()))) {
+            idle(link);
+            driver.ended(execution, Execution.End.of(Outcome.NEVER_SENT));
+            return;
+        }
         carrying.put(execution, link);
-        link.carry(execution);
+        link.carry(execution, toldUs);
     }
 
     private boolean maySend(String worker) {
         return driver.mayUseList() && hosts.maySend(worker, loop().now()) && !driver.bars(worker);
     }
 
-    void written() {
+    void written(Execution execution) {
         counters.add(Count.EXECUTIONS_WRITTEN);
+        if (execution != null) { // it may have been given up while it was written
+            driver.events().add(loop().now(), Kind.WRITTEN, execution.query().id(), execution.worker(), execution.number());
+        }
     }
 
     void ended(Execution execution, Execution.End end) {
@@ -266,7 +294,7 @@
         if (kept != null) {
             ask(kept);
         } else if (makeRoom()) {
-            connect(worker, address, () -> false, this::ask, () -> driver.probed(worker, false, null));
+            connect(worker, address, () -> false, this::ask, why -> driver.probed(worker, false, null));
         } else {
             loop().execute(() -> driver.probed(worker, false, null));
         }
@@ -285,9 +313,14 @@
         driver.probed(worker, ok, report);
     }
 
-    /** Discovery has moved there. */
-    public void discoverAt(InetSocketAddress address) {
-        discovery.moveTo(address);
+    /** The configuration names this address of discovery, by a reload that was asked for at that time. */
+    public void discoverAt(InetSocketAddress address, long sinceUs) {
+        discovery.moveTo(address, sinceUs);
+    }
+
+    /** The configuration could not be read, or only now, after a reload that was asked for at that time. */
+    public void configurationNews(AddressNews news, long sinceUs) {
+        driver.discoveryAddress(news, sinceUs);
     }
 
     @Override
@@ -340,6 +373,12 @@
         idle.computeIfAbsent(link.worker(), w -> new ArrayDeque<>()).addLast(link);
     }
 
+    /** A link has ended over this execution, which is told in this turn of the loop. */
+    void closedOver(Execution execution) {
+        loop().execute(() -> driver.monitor().permits(CloseGuard.checkWorkerConnection(execution.query().id(),
+            execution.worker(), execution.open())));
+    }
+
     void closed(ServerLink link) {
         open.remove(link);
         ArrayDeque<ServerLink> kept = idle.get(link.worker());
--- a/src/main/java/damsonslip/program/HangUp.java
+++ b/src/main/java/damsonslip/program/HangUp.java
@@ -1,5 +1,6 @@
 package damsonslip.program;
 
+import java.util.function.LongConsumer;
 import sun.misc.Signal;
 
 /**
@@ -7,32 +8,34 @@
  * place from the first moment to the last, so that one that comes during the start or a stop ends nothing either.
  */
 final class HangUp {
-    private Runnable reload;
+    private LongConsumer reload;
     private boolean pending;
+    private long pendingNs;
 
     private HangUp() { }
 
     /** Catches the signal from now on; what comes before {@link #then} is remembered for it. */
     static HangUp caught() {
         HangUp hangUp = new HangUp();
-        Signal.handle(new Signal("HUP"), signal -> hangUp.came());
+        Signal.handle(new Signal("HUP"), signal -> hangUp.came(System.nanoTime()));
         return hangUp;
     }
 
-    private synchronized void came() {
-        if (reload == null) {
+    private synchronized void came(long signalNs) {
+        if (reload != null) {
+            reload.accept(signalNs);
+        } else if (!pending) {
             pending = true;
-        } else {
-            reload.run();
+            pendingNs = signalNs;
         }
     }
 
-    /** What to do about it. */
-    synchronized void then(Runnable action) {
+    /** What to do about it, given when the signal came by {@link System#nanoTime}: of several waiting ones the first. */
+    synchronized void then(LongConsumer action) {
         reload = action;
         if (pending) {
             pending = false;
-            action.run();
+            action.accept(pendingNs);
         }
     }
 }
--- a/src/main/java/damsonslip/program/Serve.java
+++ b/src/main/java/damsonslip/program/Serve.java
@@ -2,6 +2,7 @@
 
 import damsonslip.console.ConsoleServer;
 import damsonslip.core.Counters;
+import damsonslip.core.Counters.Count;
 import damsonslip.core.Front;
 import damsonslip.core.Loop;
 import damsonslip.core.Phase;
@@ -29,6 +30,7 @@
         Loop loop = new Loop();
         Phase phase = new Phase();
         Counters counters = new Counters();
+        loop.onTaskFailed(() -> counters.add(Count.TASKS_FAILED));
         Thread stop = null;
         try {
             Front front;
--- a/src/main/java/damsonslip/settings/BadInput.java
+++ b/src/main/java/damsonslip/settings/BadInput.java
@@ -1,7 +1,7 @@
 package damsonslip.settings;
 
 /** Input that cannot be acted on; the message is one line that says what is wrong. */
-public final class BadInput extends Exception {
+public class BadInput extends Exception {
     private static final long serialVersionUID = 1L;
 
     public BadInput(String message) {
--- a/src/main/java/damsonslip/settings/NodeConfig.java
+++ b/src/main/java/damsonslip/settings/NodeConfig.java
@@ -48,7 +48,9 @@
         } catch (JsonProcessingException e) {
             throw new BadInput("config: " + file + ": not JSON: "
                 + e.getOriginalMessage().lines().findFirst().orElse(""));
-        } catch (IOException | InvalidPathException e) {
+        } catch (IOException e) {
+            throw new UnreadableFile("config: " + file + ": cannot be read");
+        } catch (InvalidPathException e) {
             throw new BadInput("config: " + file + ": cannot be read");
         }
     }
--- a/src/test/java/damsonslip/faktory/sets/RetryPolicyTest.java
+++ b/src/test/java/damsonslip/faktory/sets/RetryPolicyTest.java
@@ -51,6 +51,16 @@
         assertTrue(RetryPolicy.backoffMs(1_000_000, random) > 0, "and no count makes it negative");
     }
 
+    /** The wall clock was put back between two starts: how long ago the first run was cannot be told any more. */
+    @Test
+    void whatRanFirstInTheFutureIsNotRepeatedWithinAWindow() {
+        JobRecord ran = ran(5, 0); // first run at 10,000 ms
+        assertTrue(RetryPolicy.mayRun(ran, KEYED, 10_000));
+        assertFalse(RetryPolicy.mayRun(ran, KEYED, 9_999));
+        assertFalse(RetryPolicy.mayRun(ran, KEYED, 10_000 - 3_600_000));
+        assertTrue(RetryPolicy.mayRun(ran, SAFE, 9_999));
+    }
+
     @Test
     void aFailureIsTriedAgainUntilItsRetriesAreUsedUp() {
         JobRecord record = ran(2, 0);
--- a/src/test/java/damsonslip/kit/Peer.java
+++ b/src/test/java/damsonslip/kit/Peer.java
@@ -63,6 +63,13 @@
             return peers.size();
         }
 
+        /** Ends the connections that are open now; new ones are taken. */
+        public void endConnections() throws IOException {
+            for (Peer peer : peers) {
+                peer.close();
+            }
+        }
+
         @Override
         public void close() throws IOException {
             socket.close();
--- a/src/test/java/damsonslip/kit/Program.java
+++ b/src/test/java/damsonslip/kit/Program.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -20,6 +19,10 @@
 public final class Program implements AutoCloseable {
     /** The system tells sizes in KB. */
     private static final int KB = 1_024;
+    private static final long AWAIT_NS = TimeUnit.SECONDS.toNanos(10);
+    private static final long LOOK_MS = 5;
+    /** Within this time a JVM has written what its threads do. */
+    private static final long THREADS_MS = 500;
 
     private final Path config;
     private final Process process;
@@ -75,7 +78,7 @@
     private static List<String> command(List<String> more, String limit, String... args) {
         List<String> command = new ArrayList<>(List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-            "-XX:+UseSerialGC", "-cp",
+            "-XX:+UseSerialGC", "-Ddamsonslip.invariants=refuse", "-cp",
             System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
             "damsonslip.program.Main"));
         command.addAll(1, more);
@@ -136,10 +139,40 @@
         }
     }
 
-    /** Waits until it has said this. */
+    /** Waits until it has said this; one that ends without it, or says it too late, fails with all that it has said. */
     public Program awaitWord(String word) {
-        await("the program says '" + word + "', but: " + said(), () -> said().contains(word));
-        return this;
+        return await("it says '" + word + "'", () -> said().contains(word), this);
+    }
+
+    /** Waits for something that this program has to bring about. */
+    public static Program await(String what, BooleanSupplier holds, Program program) {
+        long end = System.nanoTime() + AWAIT_NS;
+        while (!holds.getAsBoolean()) {
+            if (program.hasEnded() && !holds.getAsBoolean()) {
+                throw new AssertionError("the program ended before " + what + ": " + program.said());
+            }
+            if (System.nanoTime() > end) {
+                throw new AssertionError("did not come about: " + what + "; the program: " + program.saidWithThreads());
+            }
+            pause();
+        }
+        return program;
+    }
+
+    /** Whether it has ended and all that it said is read. */
+    private boolean hasEnded() {
+        return !process.isAlive() && !reader.isAlive();
+    }
+
+    /** What it has said, and behind that what each of its threads does. */
+    private String saidWithThreads() {
+        try {
+            signal("QUIT"); // the JVM answers with the stacks of its threads
+            Thread.sleep(THREADS_MS);
+        } catch (IOException | InterruptedException e) {
+            return said() + e;
+        }
+        return said();
     }
 
     /** Replaces its configuration, where a text is given, and has it read again. */
@@ -228,14 +261,16 @@
     public void close() {
         readOn();
         process.destroyForcibly();
+        for (String fault : List.of("event=invariant_violated", "event=action_failed", "event=task_failed")) {
+            if (said().contains(fault)) {
+                throw new AssertionError("a fault of the program: " + said());
+            }
+        }
     }
 
+    /** A port where nobody listens, and that nobody else is given. */
     public static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
+        return Ports.next();
     }
 
     public static Path file(Path dir, String text) throws IOException {
@@ -244,16 +279,20 @@
 
     /** Waits for something that has to come about within ten seconds. */
     public static void await(String what, BooleanSupplier holds) {
-        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+        long end = System.nanoTime() + AWAIT_NS;
         while (!holds.getAsBoolean()) {
             if (System.nanoTime() > end) {
                 throw new AssertionError("did not come about: " + what);
             }
-            try {
-                Thread.sleep(5);
-            } catch (InterruptedException e) {
-                throw new AssertionError(e);
-            }
+            pause();
+        }
+    }
+
+    private static void pause() {
+        try {
+            Thread.sleep(LOOK_MS);
+        } catch (InterruptedException e) {
+            throw new AssertionError(e);
         }
     }
 }
--- a/src/test/java/damsonslip/membership/DiscoveryWatchTest.java
+++ b/src/test/java/damsonslip/membership/DiscoveryWatchTest.java
@@ -98,6 +98,21 @@
         assertFalse(watch.isValid(20 * SECOND + 2 * SECOND + GRACE));
     }
 
+    /** The old address says nothing of the new one, which only the configuration names. */
+    @Test
+    void aConfigurationThatCannotBeReadEndsTheListWhateverTheOldAddressDoes() {
+        DiscoveryWatch watch = openWatch();
+        watch.configurationUnread(20 * SECOND);
+        watch.configurationUnread(22 * SECOND);
+        watch.lost(Loss.FAILED, 21 * SECOND, 21 * SECOND, 0.5);
+        watch.called(22 * SECOND);
+        watch.lost(Loss.UNREACHABLE, 22 * SECOND, 22 * SECOND, 0.5);
+        assertTrue(watch.isValid(20 * SECOND + TOLD - 2 * SECOND - 1));
+        assertFalse(watch.isValid(20 * SECOND + TOLD - 2 * SECOND), "4 s and the grace after the first signal");
+        watch.configurationRead();
+        assertTrue(watch.isValid(20 * SECOND + TOLD));
+    }
+
     // ---- when to call
 
     @Test
@@ -235,6 +250,16 @@
         return watches;
     }
 
+    /** All have open watches, which are reset then. */
+    private static void loseAll(Fleet fleet, long at, Random random) {
+        for (int number = 0; number < fleet.watches.length; number++) {
+            DiscoveryWatch watch = fleet.watches[number];
+            watch.called(watch.start(0, 0.5));
+            watch.received();
+            fleet.callAt(number, watch.lost(Loss.FAILED, at, at, random.nextDouble()));
+        }
+    }
+
     /** All watches are reset at once and discovery is down for 8 s: all are told before a change at its return counts. */
     @ParameterizedTest
     @ValueSource(ints = {20, 100, 120})
@@ -243,11 +268,7 @@
         Fleet fleet = new Fleet(schedulers, Fleet.COST_AT_RETURN, 18 * SECOND);
         fleet.watches = watches;
         Random random = new Random(5);
-        for (int number = 0; number < schedulers; number++) {
-            watches[number].called(watches[number].start(0, 0.5));
-            watches[number].received();
-            fleet.callAt(number, watches[number].lost(Loss.FAILED, 10 * SECOND, 10 * SECOND, random.nextDouble()));
-        }
+        loseAll(fleet, 10 * SECOND, random);
         fleet.play(60 * SECOND, bySlots(watches));
         assertEquals(0, fleet.late(18 * SECOND + TOLD));
         assertTrue(fleet.most <= schedulers / 4 + 3, "calls in a second: " + fleet.most);
@@ -298,21 +319,94 @@
         failed.called(failed.start(0, 0.5));
         failed.lost(Loss.FAILED, SECOND, SECOND, 0.5);
         assertTrue(failed.isUsable(SECOND), "there is no news to be had");
+        DiscoveryWatch late = watch(1, 0);
+        late.called(late.start(9 * SECOND, 0.5));
+        late.launched(0);
+        assertFalse(late.isValid(9 * SECOND));
+        assertTrue(late.mayWait(9 * SECOND), "its first call may bring a list");
+        late.lost(Loss.FAILED, 10 * SECOND, 10 * SECOND, 0.5);
+        assertFalse(late.mayWait(10 * SECOND));
         DiscoveryWatch unanswered = watch(1, 0);
         unanswered.called(unanswered.start(0, 0.5));
         assertTrue(unanswered.isUsable(2 * SECOND), "a job cannot wait for ever");
     }
 
-    /** A start while discovery is down for long: after a cycle of failures the list that was kept is used again. */
-    @Test
-    void aStartBesideADiscoveryThatIsDownUsesItsListAgain() {
-        DiscoveryWatch watch = watch(100, 42);
+    /** A start while discovery is down for long: a small fleet uses the list that was kept again, a large one does not. */
+    @ParameterizedTest
+    @CsvSource({"1,15", "6,20", "14,27", "20,120", "100,120"})
+    void aStartBesideADiscoveryThatIsDownUsesItsListAgain(int schedulers, int notBeforeS) {
+        DiscoveryWatch watch = watch(schedulers, schedulers / 2);
         long next = watch.start(0, 0.5);
-        for (int i = 0; i < 4; i++) {
+        while (next < notBeforeS * SECOND) {
             watch.called(next);
             next = watch.lost(Loss.FAILED, next, next + 2 * SECOND, 0.5);
+            assertFalse(watch.isValid(Math.max(next, TOLD)), "as a herd behind a short outage may have it");
         }
-        assertTrue(watch.isValid(next));
+        for (int i = 0; i < 3; i++) {
+            watch.called(next);
+            next = watch.lost(Loss.FAILED, next, next + 2 * SECOND, 0.5);
+        }
+        assertEquals(schedulers <= 14, watch.isValid(next));
+    }
+
+    /** An outage that was taken for one that lasts ends: behind its return a whole fleet calls, and not all are served. */
+    @ParameterizedTest
+    @CsvSource({"3,900000", "6,1800000", "14,4200000", "20,6000000",
+        "40,6900000", "60,6900000", "100,6900000", "120,6900000"})
+    void theReturnOfALongOutageIsNotTakenForMoreOfIt(int schedulers, long costOfAll) {
+        for (long outage = 8 * SECOND; outage <= 60 * SECOND; outage += SECOND / 2) {
+            long returns = 10 * SECOND + outage;
+            DiscoveryWatch[] watches = watches(schedulers);
+            Fleet fleet = new Fleet(schedulers, costOfAll, returns);
+            fleet.watches = watches;
+            Random random = new Random(5);
+            loseAll(fleet, 10 * SECOND, random);
+            fleet.play(returns + 60 * SECOND, (number, now) -> {
+                DiscoveryWatch watch = watches[(int) number];
+                long next = watch.lost(Loss.FAILED, now, now, random.nextDouble());
+                boolean valid = watch.isValid(Math.max(now, returns + TOLD));
+                assertFalse(valid, number + " uses its list behind a failure at " + now + ", return at " + returns);
+                return next;
+            });
+        }
+    }
+
+    private static boolean stays(long number) {
+        return number % 10 < 3;
+    }
+
+    /**
+     * An outage of 8 s that begins in the fleet's first calls, or under its open watches, and seven in ten that start again
+     * behind it: who stayed takes the calls that fail for want of time for none of the outage, whose changes count by then.
+     */
+    @ParameterizedTest
+    @CsvSource({"6,true", "14,true", "20,true", "60,true", "100,true", "120,true",
+        "6,false", "14,false", "20,false", "60,false", "100,false", "120,false"})
+    void aHerdBehindAnOutageIsNotTakenForTheOutage(int schedulers, boolean inFirstCalls) {
+        long down = 2_800_000;
+        long returns = down + 8 * SECOND;
+        DiscoveryWatch[] watches = watches(schedulers);
+        Fleet fleet = new Fleet(schedulers, Math.min(Fleet.COST_IN_RELEASE, 300_000 * schedulers), returns);
+        fleet.watches = watches;
+        Random random = new Random(5);
+        for (int number = 0; number < schedulers; number++) {
+            boolean stays = stays(number);
+            long first = watches[number].start(stays ? 0 : returns + 3_400_000, random.nextDouble());
+            if (stays && !inFirstCalls) {
+                watches[number].called(first);
+                watches[number].received();
+                first = watches[number].lost(Loss.FAILED, down, down, random.nextDouble());
+            }
+            fleet.callAt(number, first);
+        }
+        fleet.play(60 * SECOND, (number, now) -> {
+            DiscoveryWatch watch = watches[(int) number];
+            long next = watch.lost(Loss.FAILED, now, now, random.nextDouble());
+            boolean valid = stays(number) && watch.isValid(Math.max(now, returns + TOLD));
+            assertFalse(valid, number + " uses its list behind a failure at " + now);
+            return next;
+        });
+        assertEquals(0, fleet.late(60 * SECOND));
     }
 
     /** A second timer that finds the watch open changes nothing. */
--- a/src/test/java/damsonslip/platform/DailyRunningTest.java
+++ b/src/test/java/damsonslip/platform/DailyRunningTest.java
@@ -38,6 +38,11 @@
         Program.await("it is ready", () -> call("READY").startsWith("YES"));
     }
 
+    private void assertReady(String when) {
+        String answer = call("READY");
+        assertTrue(answer.startsWith("YES"), when + ": " + answer);
+    }
+
     private String call(String line) {
         return call(mgmt, line);
     }
@@ -111,13 +116,13 @@
         for (int i = 0; i < 60; i++) {
             holders.add(Peer.connect(mgmt).send(i % 2 == 0 ? "" : "REA"));
             if (i % 10 == 0) {
-                assertTrue(call("READY").startsWith("YES"));
+                assertReady("with " + holders.size() + " holders");
             }
         }
         for (int i = 0; i < 700; i++) {
             holders.add(Peer.connect(port));
         }
-        assertTrue(call("READY").startsWith("YES"), "also when clients have taken all the room they get");
+        assertReady("when clients have taken all the room they get");
         assertTrue(call("STATS").endsWith("END\n"));
         for (Peer holder : holders) {
             holder.close();
--- a/src/test/java/damsonslip/platform/DeparturesBeforeAnAttemptTest.java
+++ b/src/test/java/damsonslip/platform/DeparturesBeforeAnAttemptTest.java
@@ -35,7 +35,7 @@
         Peer client = Peer.connect(port).send(query("q1", "submit", "4000m"));
         Program.await("it is sent", () -> jobs("a") == 1);
         news.add(list(8, false, first.replace("ready", "draining")));
-        Program.await("the list is in", () -> counts("list_updates", 1));
+        Program.await("the list is in", () -> counts("list_updates", 2)); // the watch's first object, and this
         drains.countDown();
         Program.await("it is turned away", () -> counts("executions_full", 1));
         if (halfClose) {
--- a/src/test/java/damsonslip/platform/DiscoveryTroubleTest.java
+++ b/src/test/java/damsonslip/platform/DiscoveryTroubleTest.java
@@ -247,6 +247,7 @@
             Thread.sleep(4_000);
             program.signal("CONT");
         }
+        ask(query("q0", "submit", "2000m")); // may have waited for all of the 4 s, for all that is known
         assertEquals(200, ask(query("q1", "submit", "2000m")).status());
         Thread.sleep(1_000);
         assertEquals(1, watches.size(), "it is the same one");
--- a/src/test/java/damsonslip/platform/EarlyAnswersTest.java
+++ b/src/test/java/damsonslip/platform/EarlyAnswersTest.java
@@ -14,6 +14,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -34,8 +35,12 @@
             socket.setReceiveBufferSize(4 * 1024);
             socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
             CompletableFuture<Integer> taken = new CompletableFuture<>();
+            CountDownLatch dialled = new CountDownLatch(1);
+            CountDownLatch otherListed = new CountDownLatch(1);
             Thread early = new Thread(() -> {
                 try (Socket peer = socket.accept()) {
+                    dialled.countDown();
+                    otherListed.await();
                     peer.getOutputStream().write(("HTTP/1.1 " + head + "\r\nContent-Length: 0\r\n\r\n")
                         .getBytes(StandardCharsets.US_ASCII));
                     Thread.sleep(500); // longer than any other request waits for this link
@@ -45,12 +50,15 @@
                 }
             });
             early.start();
-            start(entry("a", socket.getLocalPort(), "ready"));
-            Program.await("a watch, which says that nothing has changed", () -> watches.size() == 1);
+            startCounting(entry("a", socket.getLocalPort(), "ready"));
+            Program.await("it hears that nothing has changed", () -> counts("list_updates", 1), program);
             String text = query("q1", "submit", "3000m").replace("Content-Length: 4\r\n\r\nbody",
                 "Content-Length: " + BODY + "\r\n\r\n" + "b".repeat(BODY));
             try (Peer client = Peer.connect(port).send(text)) {
+                assertTrue(dialled.await(10, TimeUnit.SECONDS), "it goes to the only worker");
                 news.add(list(8, false, worker("b", SERVE)));
+                Program.await("another worker is listed", () -> counts("list_updates", 2), program);
+                otherListed.countDown();
                 Message answer = client.message();
                 assertEquals("r-q1", answer.body(), "it provably never ran: " + answer);
             }
--- /dev/null
+++ b/src/test/java/damsonslip/platform/FailingAcceptsTest.java
@@ -0,0 +1,62 @@
+package damsonslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.Peer;
+import damsonslip.lab.soak.Errno;
+import damsonslip.lab.soak.SystemCall;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The real program while the system refuses to hand over connections. */
+class FailingAcceptsTest extends FaultStage {
+    /** A busy loop makes tens of thousands of calls a second. */
+    private static final long MOST_CALLS_A_SECOND = 500;
+
+    /** Each failed accept used to end the connection that was accepted before it. */
+    @ParameterizedTest
+    @EnumSource(value = Errno.class, names = {"ENOBUFS", "ENFILE", "EMFILE", "ENOMEM", "EPROTO", "EINTR", "ECONNABORTED"})
+    void answersAllNewConnectionsWhileEverySecondAcceptFails(Errno error) throws Exception {
+        startWithFaults(worker("a", SERVE));
+        faults.fail(SystemCall.ACCEPT, error, 2);
+        List<String> outcomes = outcomesOfNewConnections(CLIENTS);
+        assertAllAnswered(outcomes);
+    }
+
+    @Test
+    void restsBetweenAcceptsThatFailAndAnswersWhoWaited() throws Exception {
+        startWithFaults(worker("a", SERVE));
+        faults.fail(SystemCall.ACCEPT, Errno.ENFILE, 1);
+        try (Peer waiting = Peer.connect(port).send(query("w", "read", "5000m"))) {
+            long before = faults.calls(SystemCall.ACCEPT);
+            Thread.sleep(1_000);
+            long calls = faults.calls(SystemCall.ACCEPT) - before;
+            faults.restore(SystemCall.ACCEPT);
+            assertEquals(200, waiting.message().status());
+            assertTrue(calls < MOST_CALLS_A_SECOND, calls + " accepts in a second");
+        }
+    }
+
+    /** A stop takes in who is before the door, also while accepts fail. */
+    @Test
+    void stopsWithoutLosingWhoWaitsBehindAFailingAccept() throws Exception {
+        startWithFaults(worker("a", SERVE));
+        program.terminate();
+        Thread.sleep(2_000); // the door is shut 2.4 s after the signal
+        faults.fail(SystemCall.ACCEPT, Errno.ENOBUFS, 1);
+        List<Peer> waiting = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            waiting.add(Peer.connect(port).send(query("s" + i, "read", "900m")));
+        }
+        Thread.sleep(600);
+        faults.restore(SystemCall.ACCEPT);
+        for (Peer client : waiting) {
+            assertTrue(client.message().status() > 0, "an answer, be it a refusal");
+        }
+        assertEquals(143, program.exit());
+    }
+}
--- a/src/test/java/damsonslip/platform/HeldUpDeparturesTest.java
+++ b/src/test/java/damsonslip/platform/HeldUpDeparturesTest.java
@@ -213,6 +213,7 @@
             .replace("\"lanes\"", "\"reporting\":{\"how\":\"pull\",\"fields\":[\"x0\",\"x1\"]},\"lanes\""),
             worker("a", (peer, message) -> (message.first().startsWith("GET") ? probed : shortOfMemory).on(peer, message)));
         Program.await("it has told that it has no memory", () -> probes.get() > 1);
+        awaitDiscovery();
         keepLinks();
         Peer client = hold(1, "").get(0);
         waits.set(true);
--- /dev/null
+++ b/src/test/java/damsonslip/platform/LastingFolderTest.java
@@ -0,0 +1,54 @@
+package damsonslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.Program;
+import damsonslip.lab.soak.Errno;
+import damsonslip.lab.soak.SystemCall;
+import java.io.IOException;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The real program where the folder that lasts cannot be written. */
+class LastingFolderTest extends FaultStage {
+    private final int mgmt = Program.freePort();
+
+    private void startManaged(String... entries) throws IOException {
+        program = new Program(config(list(7, true, entries), mgmt(mgmt)), faults.environment(), List.of(), "serve");
+    }
+
+    @ParameterizedTest
+    @CsvSource({"FILE_OPEN,ENOSPC", "FILE_OPEN,EIO", "FILE_WRITE,ENOSPC", "RENAME,EIO"})
+    void servesThoughTheFolderCannotBeWrittenAtTheStart(SystemCall call, Errno error) throws Exception {
+        faults.fail(call, error, 1);
+        startManaged(worker("a", SERVE));
+        program.awaitWord("listens on");
+        assertEquals(200, ask(query("q1", "read", "4000m")).status());
+        assertTrue(call(mgmt, "READY").startsWith("YES"), "the operators' tools get on");
+        assertTrue(call(mgmt, "DISABLE a").startsWith("NO"), "nothing is kept yet");
+        faults.restore(call);
+        Program.await("the folder is used once it can be", () -> call(mgmt, "DISABLE a").startsWith("YES"));
+    }
+
+    /** What an operator is told has been done is kept; what could not be kept is told. */
+    @ParameterizedTest
+    @CsvSource({"FILE_OPEN,ENOSPC", "FILE_WRITE,ENOSPC", "FILE_SYNC,EIO", "RENAME,EIO"})
+    void tellsTheOperatorOfAChangeThatCouldNotBeKept(SystemCall call, Errno error) throws Exception {
+        startManaged(worker("a", SERVE), worker("b", SERVE));
+        program.awaitWord("listens on");
+        Program.await("it takes commands", () -> call(mgmt, "READY").startsWith("YES"));
+        faults.fail(call, error, 1);
+        String answer = call(mgmt, "DISABLE a");
+        assertTrue(answer.startsWith("NO"), answer);
+        assertEquals(200, ask(query("q1", "read", "4000m")).status());
+        faults.restore(call);
+        answer = call(mgmt, "DISABLE a");
+        assertTrue(answer.startsWith("YES"), answer);
+        program.kill();
+        program.exit();
+        startManaged(worker("a", SERVE), worker("b", SERVE));
+        program.awaitWord("took over the operators' bans");
+    }
+}
--- a/src/test/java/damsonslip/platform/PlatformStage.java
+++ b/src/test/java/damsonslip/platform/PlatformStage.java
@@ -131,6 +131,17 @@
         return server;
     }
 
+    /** What discovery does with a call that it does not get round to. */
+    static void failBusy(Peer peer) throws IOException, InterruptedException {
+        peer.message();
+        failCall(peer);
+    }
+
+    static void failCall(Peer peer) throws IOException, InterruptedException {
+        Thread.sleep(2_000);
+        peer.send("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+    }
+
     @AfterEach
     void end() throws IOException {
         if (program != null) {
@@ -196,9 +207,18 @@
 
     /** Whether a counter stands at this figure; only after {@link #startCounting}. */
     boolean counts(String name, int figure) {
+        return countsAs(name + " +" + figure);
+    }
+
+    /** Whether anything was counted under this name. */
+    boolean countsAny(String name) {
+        return countsAs(name + " +[0-9]+");
+    }
+
+    private boolean countsAs(String pattern) {
         try (Peer asker = Peer.connect(console).send("counters\n")) {
             for (String line = asker.line(); line != null && !line.equals("."); line = asker.line()) {
-                if (line.matches(name + " +" + figure)) {
+                if (line.matches(pattern)) {
                     return true;
                 }
             }
@@ -250,6 +270,11 @@
         return room.getCount() == 0 ? 99 : 0;
     }
 
+    /** A start turns away what is beyond its share until it has heard discovery; only after {@link #startCounting}. */
+    void awaitDiscovery() {
+        Program.await("it has heard discovery", () -> countsAny("list_updates"), program);
+    }
+
     /** Has links kept to the worker, on which an attempt begins in the moment it is decided. */
     void keepLinks() throws IOException {
         List<Peer> others = new ArrayList<>();
@@ -277,6 +302,7 @@
     /** The same, and the answer to a query that is out tells of memory as soon as there is {@link #room}. */
     List<Peer> startHolding(String ahead) throws IOException {
         startCounting(PlatformStage::holding, worker("a", shortOfMemory));
+        awaitDiscovery();
         keepLinks();
         Peer.connect(port).send(query("gate", "submit", "4500m"));
         Program.await("one is out", () -> jobs("a") == KEPT + 1);
--- a/src/test/java/damsonslip/platform/ReloadsWithDrainsTest.java
+++ b/src/test/java/damsonslip/platform/ReloadsWithDrainsTest.java
@@ -126,6 +126,19 @@
         assertTold(hungUp);
     }
 
+    /** A new discovery that is too busy to answer: what it has to tell counts all the same. */
+    @Test
+    void nothingIsSentOnTheOldListWhereTheNewDiscoveryDoesNotGetRoundToTelling() throws Exception {
+        loaded(noting("a"), noting("b"));
+        Peer.Server busy = new Peer.Server(0, PlatformStage::failBusy);
+        servers.add(busy);
+        long hungUp = System.nanoTime();
+        reloadTo(busy.port());
+        Thread.sleep(1_500);
+        discovery.close(); // as the old one does, by LATER
+        assertLeftAlone(hungUp + RELOAD_NS, "a", "b");
+    }
+
     /** Whole lists on an open watch: half are missing in one, and the next has a lower number and other ones missing. */
     @Test
     void wholeListsOnAnOpenWatchCountWhateverTheirNumbers() throws Exception {
--- /dev/null
+++ b/src/test/java/damsonslip/platform/ShortageAtStartTest.java
@@ -0,0 +1,33 @@
+package damsonslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.Program;
+import damsonslip.lab.soak.Errno;
+import damsonslip.lab.soak.SystemCall;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** The real program that starts while the system has no socket to give (socket(2)). */
+class ShortageAtStartTest extends FaultStage {
+    private static final long SHORTAGE_MS = 1_500;
+
+    @ParameterizedTest
+    @EnumSource(value = Errno.class, names = {"ENOMEM", "ENOBUFS", "ENFILE", "EMFILE"})
+    void startsOnceThereAreSocketsAgain(Errno error) throws Exception {
+        Map<String, String> environment = new HashMap<>(faults.environment());
+        int second = Program.freePort();
+        faults.fail(SystemCall.SOCKET, error, 1);
+        program = new Program(config(list(7, true, worker("a", SERVE)), mgmt(second)), environment, List.of(), "serve");
+        Thread.sleep(SHORTAGE_MS);
+        assertTrue(program.isAlive(), program.said());
+        faults.restore(SystemCall.SOCKET);
+        program.awaitWord("listens on");
+        assertEquals(200, ask(query("q1", "read", "4000m")).status());
+        Program.await("its second address listens", () -> call(second, "READY").startsWith("YES"), program);
+    }
+}
--- a/src/test/java/damsonslip/platform/SlowPeersTest.java
+++ b/src/test/java/damsonslip/platform/SlowPeersTest.java
@@ -61,6 +61,11 @@
         return program.said().lines().filter(line -> line.contains("answers that are not read hold more")).count();
     }
 
+    /** A start on a busy machine may refuse until it has heard discovery. */
+    private void awaitService() {
+        Program.await("it serves", () -> served("first" + System.nanoTime()), program);
+    }
+
     private boolean served(String id) {
         try {
             return ask(query(id, "submit", "4000m")).status() == 200;
@@ -104,6 +109,7 @@
             Path file = config(list(7, true, worker("a", LARGE), entry("b", still.getLocalPort(), "ready")));
             program = new Program(file, Map.of("DAMSONSLIP_CONSOLE", "127.0.0.1:" + console), List.of(), "serve")
                 .awaitWord("listens on");
+            awaitService();
             try (Socket silent = asking("q1")) {
                 Program.await("the client is shown", () -> slow(console).matches("(?s)peer .*127.0.0.1:"
                     + silent.getLocalPort() + " +reads an answer +[1-9][0-9]+ +[0-9]+ +[0-9.]+\n.*"));
@@ -152,6 +158,7 @@
     @Test
     void aClientThatNeverReadsItsAnswerIsLetGo() throws Exception {
         start(worker("a", LARGE));
+        awaitService();
         try (Socket silent = asking("q1"); Socket pausing = asking("q2")) {
             Thread.sleep(3_000);
             assertEquals(LARGE_ANSWER, pausing.getInputStream().readNBytes(LARGE_ANSWER).length);
--- /dev/null
+++ b/src/test/java/damsonslip/platform/ThreadShortageTest.java
@@ -0,0 +1,31 @@
+package damsonslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import damsonslip.lab.soak.Errno;
+import damsonslip.lab.soak.SystemCall;
+import org.junit.jupiter.api.Test;
+
+/** The real program where the system starts no more threads (pthread_create(3)). */
+class ThreadShortageTest extends FaultStage {
+    private static final int EXIT_BY_SIGTERM = 143;
+
+    private void startShortOfThreads() throws Exception {
+        startWithFaults(worker("a", SERVE));
+        faults.fail(SystemCall.THREAD_CREATE, Errno.EAGAIN, 1);
+    }
+
+    @Test
+    void answersAllWhereNoThreadCanBeStarted() throws Exception {
+        startShortOfThreads();
+        assertAllAnswered(outcomesOfNewConnections(CLIENTS));
+    }
+
+    /** The JVM starts a thread for each signal, and drops the signal where it cannot. */
+    @Test
+    void endsOnSigtermWhereNoThreadCanBeStarted() throws Exception {
+        startShortOfThreads();
+        program.terminate();
+        assertEquals(EXIT_BY_SIGTERM, program.exit());
+    }
+}
--- a/src/test/java/damsonslip/platform/UpgradeTest.java
+++ b/src/test/java/damsonslip/platform/UpgradeTest.java
@@ -38,8 +38,7 @@
         Program started =
             new Program(config(list(7, true, entries), mgmt(mgmt)), Map.of(), words, mostKb, "serve");
         programs.add(started);
-        Program.await("it is ready, but: " + started.said(), () -> call(mgmt, "READY").startsWith("YES"));
-        return started;
+        return Program.await("it is ready", () -> call(mgmt, "READY").startsWith("YES"), started);
     }
 
     private boolean marked(int number) {
@@ -55,7 +54,7 @@
                     client = client == null ? Peer.connect(port) : client;
                     Message answer = client.send(query(name + i, "read", "4000m")).message();
                     if (answer.status() != 200) {
-                        wrong.add(name + i + ": " + answer.first());
+                        wrong.add(name + i + ": " + answer.first() + ", " + answer.body());
                     }
                     served.incrementAndGet();
                     if (!keep || "close".equals(answer.field("Connection"))) {
@@ -94,6 +93,7 @@
         };
         String[] workers = {worker("a", quick), worker("b", quick), worker("c", quick), worker("d", quick)};
         Program old = start(first, words, mostKb, workers);
+        assertEquals(200, ask(query("first", "read", "4000m")).status(), "it has heard discovery");
         List<String> wrong = new java.util.concurrent.CopyOnWriteArrayList<>();
         AtomicInteger served = new AtomicInteger();
         boolean[] over = new boolean[1];
@@ -116,6 +116,41 @@
         Program.await("the new one is alone", () -> next.said().contains("processes of this scheduler: 1"));
     }
 
+    /** A process that has not heard discovery yet can send nothing, and turns away what is beyond its share. */
+    @Test
+    void newOneTakesNobodyInBeforeItKnowsTheWorkers() throws Exception {
+        String[] workers = {worker("a", SERVE), worker("b", SERVE), worker("c", SERVE), worker("d", SERVE)};
+        start(first, workers);
+        Peer.Server busyDiscovery = new Peer.Server(0, peer -> {
+            peer.message();
+            Thread.sleep(800);
+            peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").chunk(list(7, false));
+            Thread.sleep(30_000);
+        });
+        servers.add(busyDiscovery);
+        for (int i = 0; i < 20; i++) {
+            assertEquals(200, ask(query("warm" + i, "read", "4000m")).status());
+        }
+        Path file = config(list(7, true, workers), mgmt(second));
+        Files.writeString(file, Files.readString(file).replace("\"discovery\":\"127.0.0.1:" + discovery.port(),
+            "\"discovery\":\"127.0.0.1:" + busyDiscovery.port()));
+        List<String> wrong = new java.util.concurrent.CopyOnWriteArrayList<>();
+        boolean[] over = new boolean[1];
+        List<Thread> clients = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            clients.add(load(wrong, new AtomicInteger(), false, "c" + i + "-", over));
+        }
+        Program next = new Program(file, "serve");
+        programs.add(next);
+        Program.await("it is ready", () -> call(second, "READY").startsWith("YES"), next);
+        Thread.sleep(300);
+        over[0] = true;
+        for (Thread client : clients) {
+            client.join(5_000);
+        }
+        assertEquals(List.of(), wrong);
+    }
+
     /** Two processes are one scheduler: a crowd gets no more descriptors from both than the configuration gives. */
     @Test
     void bothProcessesShareTheDescriptorsOfOne() throws Exception {
