--- a/src/test/java/damsonslip/platform/ThreadShortageTest.java
+++ b/src/test/java/damsonslip/platform/ThreadShortageTest.java
@@ -2,8 +2,13 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import damsonslip.kit.Peer;
+import damsonslip.kit.Program;
 import damsonslip.lab.soak.Errno;
 import damsonslip.lab.soak.SystemCall;
+import java.nio.file.Files;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.Test;
 
 /** The real program where the system starts no more threads (pthread_create(3)). */
@@ -21,6 +26,15 @@
         assertAllAnswered(outcomesOfNewConnections(CLIENTS));
     }
 
+    @Test
+    void followsDiscoveryOnSighupWhereNoThreadCanBeStarted() throws Exception {
+        List<String> newWatches = new CopyOnWriteArrayList<>();
+        Peer.Server moved = discovery(new CopyOnWriteArrayList<>(), newWatches);
+        startShortOfThreads();
+        program.reload(Files.readString(configuration).replace("127.0.0.1:" + discovery.port(), "127.0.0.1:" + moved.port()));
+        Program.await("it watches discovery where that is now", () -> !newWatches.isEmpty(), program);
+    }
+
     /** The JVM starts a thread for each signal, and drops the signal where it cannot. */
     @Test
     void endsOnSigtermWhereNoThreadCanBeStarted() throws Exception {
