Handle signals on threads that are started beforehand

The jar's manifest opens jdk.internal.misc; where that fails, signals go as before and a line says so. Ruled out: blocking signals before exec and polling /proc (a second SIGHUP is not seen), native code, a supervisor.

--- a/src/main/java/damsonslip/program/HangUp.java
+++ b/src/main/java/damsonslip/program/HangUp.java
@@ -1,7 +1,6 @@
 package damsonslip.program;
 
 import java.util.function.LongConsumer;
-import sun.misc.Signal;
 
 /**
  * SIGHUP: read the settings again. Guards against the JVM's own way with this signal, which is to exit; it is in
@@ -17,11 +16,11 @@
     /** Catches the signal from now on; what comes before {@link #then} is remembered for it. */
     static HangUp caught() {
         HangUp hangUp = new HangUp();
-        Signal.handle(new Signal("HUP"), signal -> hangUp.came(System.nanoTime()));
+        SignalThread.handle((signal, receivedNs) -> hangUp.received(receivedNs), "HUP");
         return hangUp;
     }
 
-    private synchronized void came(long signalNs) {
+    private synchronized void received(long signalNs) {
         if (reload != null) {
             reload.accept(signalNs);
         } else if (!pending) {
--- a/src/main/java/damsonslip/program/Serve.java
+++ b/src/main/java/damsonslip/program/Serve.java
@@ -27,6 +27,7 @@
     /** Serves the platform, whose configuration the environment names, or what an operator's file sets up. */
     static void start(String file, Map<String, String> environment) throws BadInput, IOException {
         HangUp hangUp = HangUp.caught();
+        Termination termination = Termination.handled();
         Loop loop = new Loop();
         Phase phase = new Phase();
         Counters counters = new Counters();
@@ -51,8 +52,10 @@
                 second = config.mgmt();
             }
             // before the first connection is taken: a stop that came in between would end the program over its query
-            stop = new Thread(() -> stop(front, phase, counters), "stop");
-            Runtime.getRuntime().addShutdownHook(stop);
+            Runnable stopping = () -> stop(front, phase, counters);
+            stop = new Thread(stopping, "stop");
+            Runtime.getRuntime().addShutdownHook(stop); // for an exit of the program's own
+            termination.after(stopping);
             ManagementServer mgmt = new ManagementServer(loop);
             if (!second.isBlank()) {
                 mgmt.listen(second); // before clients find the door open: one that is taken ends the program
@@ -83,7 +86,7 @@
         }
     }
 
-    /** Runs when the process is told to end, which the JVM puts off until this returns. */
+    /** Brings the front to an end; the process goes on until this returns. */
     private static void stop(Front front, Phase phase, Counters counters) {
         front.leave();
         try {
--- /dev/null
+++ b/src/main/java/damsonslip/program/SignalTable.java
@@ -0,0 +1,82 @@
+package damsonslip.program;
+
+import java.lang.reflect.Field;
+import java.lang.reflect.InaccessibleObjectException;
+import java.util.Hashtable;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
+
+/**
+ * Takes the place of the JDK's table of signal handlers. The JDK's dispatcher looks a signal up there and starts a thread
+ * for the handler that it finds; this table hands the signal to a {@link SignalThread} instead and names no handler.
+ *
+ * <p>It needs {@code java.base/jdk.internal.misc} to be open, which the manifest of the jar asks for. Where it is not open,
+ * or another JDK keeps its handlers elsewhere, the JDK's own table stays and one line of the log says so.
+ */
+final class SignalTable extends Hashtable<Object, Object> {
+    private static final long serialVersionUID = 1L;
+    private static final Logger LOG = LoggerFactory.getLogger(SignalTable.class);
+    private static final String JDK_CLASS = "jdk.internal.misc.Signal";
+    private static final String JDK_FIELD = "handlers";
+    /** The thread on which the JDK dispatches; others look handlers up in order to replace them. */
+    private static final String DISPATCHER = "Signal Dispatcher";
+
+    /** Installed by the first signal that is directed; null where the JDK's table stays. */
+    private static final SignalTable INSTALLED = install();
+
+    private record Direction(Signal signal, SignalThread thread) { }
+
+    /** By the name that the JDK's own signals have as text, such as {@code SIGTERM}. */
+    private final transient Map<String, Direction> directions = new ConcurrentHashMap<>();
+
+    private SignalTable(Map<?, ?> handlers) {
+        super(handlers);
+    }
+
+    /** Hands this signal to the thread from now on, if the table could be installed. */
+    static void direct(Signal signal, SignalThread thread) {
+        if (INSTALLED != null) {
+            INSTALLED.directions.put(signal.toString(), new Direction(signal, thread));
+        }
+    }
+
+    private static SignalTable install() {
+        try {
+            Class<?> jdkSignal = Class.forName(JDK_CLASS);
+            Field field = jdkSignal.getDeclaredField(JDK_FIELD);
+            field.setAccessible(true);
+            synchronized (jdkSignal) { // as Signal.handle does, which changes the table
+                SignalTable table = new SignalTable((Map<?, ?>) field.get(null));
+                field.set(null, table);
+                return table;
+            }
+        } catch (ReflectiveOperationException | InaccessibleObjectException | ClassCastException e) {
+            LOG.warn("event=signal_threads_not_reserved error=\"{}\"", e.getMessage());
+            return null;
+        }
+    }
+
+    @Override
+    public Object get(Object jdkSignal) {
+        Direction direction = directions.get(jdkSignal.toString());
+        if (direction == null || !Thread.currentThread().getName().equals(DISPATCHER)) {
+            return super.get(jdkSignal);
+        }
+        direction.thread().receive(direction.signal());
+        return null;
+    }
+
+    /** Two tables are never compared; the JDK does not. */
+    @Override
+    public boolean equals(Object other) {
+        return this == other;
+    }
+
+    @Override
+    public int hashCode() {
+        return System.identityHashCode(this);
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonslip/program/SignalThread.java
@@ -0,0 +1,71 @@
+package damsonslip.program;
+
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
+
+/**
+ * A thread, started beforehand, on which the action of a signal runs. The JDK starts a thread for each signal that it
+ * receives and drops the signal if the system cannot start one (pthread_create(3), EAGAIN). Signals are handled one after
+ * the other, in the order in which they were received.
+ */
+final class SignalThread {
+    private static final Logger LOG = LoggerFactory.getLogger(SignalThread.class);
+
+    private final Action action;
+    private final BlockingQueue<Received> received = new LinkedBlockingQueue<>();
+
+    /** What a signal asks for. */
+    interface Action {
+        /** @param receivedNs when the process received it, by {@link System#nanoTime} */
+        void run(Signal signal, long receivedNs);
+    }
+
+    private record Received(Signal signal, long atNs) { }
+
+    private SignalThread(Action action) {
+        this.action = action;
+    }
+
+    /**
+     * Runs the action on each of these signals from now on, in place of what the JDK does by itself. Where the JDK's table of
+     * handlers cannot be replaced, the action runs on a thread that the JDK starts then.
+     *
+     * @param names names of signals without their prefix, such as {@code TERM}
+     */
+    static void handle(Action action, String... names) {
+        SignalThread thread = new SignalThread(action);
+        thread.start("signals-" + names[0]);
+        for (String name : names) {
+            Signal signal = new Signal(name);
+            Signal.handle(signal, asked -> action.run(asked, System.nanoTime()));
+            SignalTable.direct(signal, thread);
+        }
+    }
+
+    private void start(String name) {
+        Thread thread = new Thread(this::runActions, name);
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Takes note of a signal; called on the JDK's thread that dispatches signals, which must not wait. */
+    void receive(Signal signal) {
+        received.add(new Received(signal, System.nanoTime()));
+    }
+
+    private void runActions() {
+        while (true) {
+            try {
+                Received next = received.take();
+                action.run(next.signal(), next.atNs());
+            } catch (InterruptedException e) {
+                return; // nobody interrupts it but a JVM that ends
+            } catch (RuntimeException | Error e) {
+                LOG.error("event=signal_action_failed", e);
+            }
+        }
+    }
+}
--- a/src/test/java/damsonslip/kit/Program.java
+++ b/src/test/java/damsonslip/kit/Program.java
@@ -78,7 +78,8 @@
     private static List<String> command(List<String> more, String limit, String... args) {
         List<String> command = new ArrayList<>(List.of(
             Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:TieredStopAtLevel=1",
-            "-XX:+UseSerialGC", "-Ddamsonslip.invariants=refuse", "-cp",
+            "-XX:+UseSerialGC", "-Ddamsonslip.invariants=refuse",
+            "--add-opens=java.base/jdk.internal.misc=ALL-UNNAMED", "-cp", // what the jar's manifest asks for
             System.getProperty("surefire.test.class.path", System.getProperty("java.class.path")),
             "damsonslip.program.Main"));
         command.addAll(1, more);
