--- a/src/main/java/damsonslip/Dispatch.java
+++ b/src/main/java/damsonslip/Dispatch.java
@@ -2,6 +2,7 @@
 
 import damsonslip.membership.DiscoveryWatch;
 import damsonslip.membership.DiscoveryWatch.Loss;
+import damsonslip.membership.ProbeResult;
 import java.util.List;
 import java.util.function.Predicate;
 
@@ -107,10 +108,11 @@
      * @param listOnRequest whether the list of workers comes only when asked for
      * @param tellsStart    whether workers say when a job starts
      * @param tickUs        the least time between two events of a dispatcher
+     * @param probesTellDrains whether a worker that drains does not answer a probe as one that takes work
      */
     record Settings(int dispatchers, int number, int zone, int zones, int kinds, List<JobClass> classes,
                     List<Double> tenantQuotas, Limits limits, Guarantees guarantees, Reporting reporting,
-                    boolean listOnRequest, boolean tellsStart, long tickUs) {
+                    boolean listOnRequest, boolean tellsStart, long tickUs, boolean probesTellDrains) {
         public Settings {
             classes = List.copyOf(classes);
             tenantQuotas = List.copyOf(tenantQuotas);
@@ -133,10 +135,29 @@
             }
         }
 
+        /** Settings of a site where probes tell nothing of drains. */
+        public Settings(int dispatchers, int number, int zone, int zones, int kinds, List<JobClass> classes,
+                        List<Double> tenantQuotas, Limits limits, Guarantees guarantees, Reporting reporting,
+                        boolean listOnRequest, boolean tellsStart, long tickUs) {
+            this(dispatchers, number, zone, zones, kinds, classes, tenantQuotas, limits, guarantees, reporting,
+                listOnRequest, tellsStart, tickUs, false);
+        }
+
         /** The same for one of so many dispatchers. */
         Settings among(Divided e) {
             return new Settings(e.dispatchers(), e.number(), zone, zones, kinds, classes, tenantQuotas, limits, guarantees,
-                reporting, listOnRequest, tellsStart, tickUs);
+                reporting, listOnRequest, tellsStart, tickUs, probesTellDrains);
+        }
+
+        /** The same where a worker that drains does not answer a probe as one that takes work. */
+        public Settings withProbesThatTellDrains() {
+            return new Settings(dispatchers, number, zone, zones, kinds, classes, tenantQuotas, limits, guarantees,
+                reporting, listOnRequest, tellsStart, tickUs, true);
+        }
+
+        /** Whether workers can be asked themselves whether they take work, where no list holds. */
+        boolean leasesByProbe() {
+            return probesTellDrains && listOnRequest && limits.mayProbe();
         }
 
         /** This dispatcher's watch on discovery, not begun yet. */
@@ -316,8 +337,8 @@
     /** The client has gone; nothing more is owed. */
     record JobGone(String job) implements Event { }
 
-    /** A probe has come back; {@code report} may be null. */
-    record ProbeEnded(String worker, boolean ok, Report report) implements Event { }
+    /** A probe has ended; {@code report} may be null. */
+    record ProbeEnded(String worker, ProbeResult result, Report report) implements Event { }
 
     /** From now on so many dispatchers count as sharing the workers, and this one has that number among them. */
     record Divided(int dispatchers, int number) implements Event { }
--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -3,6 +3,7 @@
 import damsonslip.Dispatch.JobArrived;
 import damsonslip.Dispatch.JobClass;
 import damsonslip.membership.StartTimes;
+import damsonslip.membership.WorkerLease;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -82,6 +83,8 @@
         boolean failing;
         long coldTurn = -1;
         double coldSpent;
+        /** What its own answers allow while no list holds. */
+        final WorkerLease lease = new WorkerLease();
 
         Worker(String id) {
             this.id = id;
@@ -180,6 +183,8 @@
         boolean held;
         int near = 1;
         Attempt risk;
+        /** The worker that was probed for it last. */
+        Worker probed;
 
         Job(JobArrived ask, long arrived, long order) {
             this.ask = ask;
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -4,6 +4,7 @@
 import damsonslip.Known.*;
 import damsonslip.Known.Worker;
 import damsonslip.membership.DiscoveryWatch;
+import damsonslip.membership.ProbeResult;
 import damsonslip.membership.StartTimes;
 import java.util.*;
 import java.util.function.Consumer;
@@ -914,7 +915,7 @@
 
     private void probed(ProbeEnded e) {
         Worker w = workers.get(e.worker());
-        if (w != null && e.ok()) {
+        if (w != null && e.result() == ProbeResult.HEALTHY) {
             reported(w, e.report(), true);
             released(w.pool);
         }
@@ -922,9 +923,9 @@
 
     // ---- for people to read
 
-    /** Whether the list may still be used: nothing is begun at a worker that nobody vouches for any more. */
-    public boolean mayUseList(long nowUs) {
-        return discovery.isUsable(nowUs);
+    /** Whether the worker may still be sent to: nothing is begun where no list of discovery holds. */
+    public boolean mayUse(String worker, long nowUs) {
+        return workers.containsKey(worker) && discovery.isUsable(nowUs);
     }
 
     /** What a cold worker has had from here in its window, and what it bears; null if it is not cold. */
--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -40,6 +40,7 @@
 import damsonslip.invariants.RepeatGuard.Place;
 import damsonslip.invariants.SendGuard;
 import damsonslip.invariants.Violation;
+import damsonslip.membership.ProbeResult;
 import damsonslip.overrides.WorkerOverrides;
 import damsonslip.peers.PeerProcesses;
 import java.util.ArrayDeque;
@@ -366,14 +367,14 @@
         tell(new ListUpdate(mode, List.of(), heardUs));
     }
 
-    /** Whether discovery's last list still vouches for the workers that it names. */
-    public boolean mayUseList() {
-        return rules.mayUseList(loop.now());
+    /** Whether discovery's last list, or the worker's own answer to a probe, still allows to send to it. */
+    public boolean mayUse(String worker) {
+        return rules.mayUse(worker, loop.now());
     }
 
-    public void probed(String worker, boolean ok, Report report) {
-        trace.probed(worker, ok);
-        tell(new ProbeEnded(worker, ok, report));
+    public void probed(String worker, ProbeResult result, Report report) {
+        trace.probed(worker, result);
+        tell(new ProbeEnded(worker, result, report));
     }
 
     // ---- decisions
--- a/src/main/java/damsonslip/core/Trace.java
+++ b/src/main/java/damsonslip/core/Trace.java
@@ -8,6 +8,7 @@
 import damsonslip.Dispatch.Worker;
 import damsonslip.Dispatch.WorkerState;
 import damsonslip.core.EventLog.Kind;
+import damsonslip.membership.ProbeResult;
 import java.util.List;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
@@ -119,9 +120,9 @@
             .forEach(w -> LOG.debug("cold {} partUs={}", w.id(), (long) w.coldPartUs()));
     }
 
-    void probed(String worker, boolean ok) {
+    void probed(String worker, ProbeResult result) {
         if (on) {
-            LOG.debug("probed {} ok={}", worker, ok);
+            LOG.debug("probed {} as={}", worker, result);
         }
     }
 }
--- a/src/main/java/damsonslip/faktory/Consumers.java
+++ b/src/main/java/damsonslip/faktory/Consumers.java
@@ -15,6 +15,7 @@
 import damsonslip.faktory.codec.JobText;
 import damsonslip.faktory.codec.Reply;
 import damsonslip.faktory.sets.RetryPolicy.RunFailure;
+import damsonslip.membership.ProbeResult;
 import damsonslip.settings.Site;
 import damsonslip.store.AsyncStore;
 import damsonslip.store.Op;
@@ -242,13 +243,13 @@
     }
 
     private void reportLoad(Consumer consumer) {
-        driver.probed(consumer.wid, true, load(consumer));
+        driver.probed(consumer.wid, ProbeResult.HEALTHY, load(consumer));
     }
 
     /** Reports a FETCH to the decision module: the worker is alive, with so many free slots and so many in all. */
     private void reportFetch(Consumer consumer) {
         Report free = load(consumer);
-        driver.probed(consumer.wid, true, Report.offered(free.freeSlots(), free.freeMemory(), free.held(),
+        driver.probed(consumer.wid, ProbeResult.HEALTHY, Report.offered(free.freeSlots(), free.freeMemory(), free.held(),
             Math.max(1, consumer.slots())));
     }
 
@@ -431,7 +432,7 @@
     /** Faktory has no probes; a FETCH carries the same information. */
     @Override
     public void probe(String worker) {
-        loop.execute(() -> driver.probed(worker, false, null));
+        loop.execute(() -> driver.probed(worker, ProbeResult.UNREACHABLE, null));
     }
 
     /** Workers register themselves, so there is no list to watch. */
--- a/src/main/java/damsonslip/membership/DiscoveryWatch.java
+++ b/src/main/java/damsonslip/membership/DiscoveryWatch.java
@@ -98,6 +98,8 @@
     private long failingSince = Long.MAX_VALUE;
     private long usableFrom = Long.MIN_VALUE;
     private long calledAt;
+    /** When discovery was last heard before the open watch was lost. */
+    private long heardAt = Long.MIN_VALUE;
     private long validUntil = Long.MAX_VALUE;
     /** Discovery has moved and was not heard at its new address: until then the list of the old one holds at the most. */
     private long movedUntil = Long.MAX_VALUE;
@@ -199,6 +201,7 @@
         usableFrom = Long.MIN_VALUE;
         failingSince = Math.min(failingSince, nowUs);
         if (wasOpen) {
+            heardAt = heardUs;
             validUntil = heardUs + toldUs + graceUs;
             return loss == Loss.SILENT ? nowUs + (long) (AT_ONCE_US * random)
                 : slot(nowUs + backOff(random));
@@ -237,6 +240,16 @@
         return nowUs >= usableFrom && isValid(nowUs);
     }
 
+    /** When discovery was last heard; it tells of all that the last list lacks until then. */
+    public long heardUs(long nowUs) {
+        return state == State.OPEN ? nowUs : heardAt;
+    }
+
+    /** So long after the news of a drain its worker may still be sent to, less what bytes need to leave. */
+    public long graceUs() {
+        return graceUs;
+    }
+
     /** Whether calls have failed for longer than a short outage and all that comes behind it can last. */
     private boolean isOutage() {
         long longest = SHORT_OUTAGE_US + RESTARTED_FLEET_US * schedulers;
--- /dev/null
+++ b/src/main/java/damsonslip/membership/WorkerLease.java
@@ -0,0 +1,78 @@
+package damsonslip.membership;
+
+/**
+ * What a worker's own answers to probes allow while no list of discovery holds.
+ *
+ * <p>A worker that drains answers a probe with 200 no more once discovery lists it as draining (measured, see
+ * docs/incidents/2026-12-02-outages-and-service.md). So whoever gets that answer cannot have been told of a drain before the
+ * probe was sent, and the grace of a drain cannot end before the probe's time and the grace. Until then the worker may be
+ * sent to, whatever became of discovery. A worker whose connections failed since discovery was last heard may have been
+ * started anew and be cold: only a list can tell.
+ *
+ * <p>All times are microseconds of the clock that the caller passes in. Not safe for use by several threads.
+ */
+public final class WorkerLease {
+    /** A worker that drains goes on to do so, and one that is overloaded needs time. */
+    private static final long REFUSED_AGAIN_US = 1_000_000;
+    /** A probe that this machine could not send says nothing of the worker. */
+    private static final long UNSENT_AGAIN_US = 100_000;
+    private static final long NEVER = Long.MIN_VALUE;
+
+    private int outstanding;
+    /** When the oldest probe that is not answered yet was sent; which of several is answered cannot be told. */
+    private long probedAt = NEVER;
+    private long validUntil = NEVER;
+    private long nextProbeAt = NEVER;
+    private long failedAt = NEVER;
+
+    /** A probe is being sent. */
+    public void probeSent(long nowUs) {
+        if (outstanding++ == 0) {
+            probedAt = nowUs;
+        }
+    }
+
+    /**
+     * A probe has ended.
+     *
+     * @param graceUs so long after the news of a drain the worker may still be sent to
+     */
+    public void probeEnded(ProbeResult result, long graceUs, long nowUs) {
+        outstanding = Math.max(0, outstanding - 1);
+        switch (result) {
+            case HEALTHY -> validUntil = Math.max(validUntil, probedAt + graceUs);
+            case UNHEALTHY -> {
+                validUntil = NEVER;
+                nextProbeAt = nowUs + REFUSED_AGAIN_US;
+            }
+            case UNREACHABLE -> connectionFailed(nowUs);
+            case NOT_SENT -> nextProbeAt = nowUs + UNSENT_AGAIN_US;
+        }
+    }
+
+    /** A connection to the worker failed, or could not be had. */
+    public void connectionFailed(long nowUs) {
+        validUntil = NEVER;
+        failedAt = nowUs;
+    }
+
+    /** Whether the worker may be sent to. */
+    public boolean isValid(long nowUs) {
+        return nowUs < validUntil;
+    }
+
+    /** Whether an answer to a probe is awaited. */
+    public boolean isAwaited() {
+        return outstanding > 0;
+    }
+
+    /** Whether a job may wait for this worker: it may be sent to, or an answer to a probe may come soon that says so. */
+    public boolean isWorthAwaiting(long heardUs, long nowUs) {
+        return isValid(nowUs) || isAwaited() || failedAt <= heardUs && nextProbeAt <= nowUs + UNSENT_AGAIN_US;
+    }
+
+    /** Whether a probe now may lead to a lease, where discovery was last heard then. */
+    public boolean isWorthProbing(long heardUs, long nowUs) {
+        return outstanding == 0 && nowUs >= nextProbeAt && failedAt <= heardUs;
+    }
+}
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -92,7 +92,7 @@
         this.config = config;
         this.environment = environment;
         this.stopTimes = ShutdownTimes.of(longestDeadlineUs());
-        this.driver = new Driver(config.site().settings(), config.seed(), loop, counters);
+        this.driver = new Driver(config.site().settings().withProbesThatTellDrains(), config.seed(), loop, counters);
         phase.onChange(() -> loop.execute(() -> driver.events().add(loop.now(), Kind.PHASE, "", phase.state(), 0)));
     }
 
--- a/src/main/java/damsonslip/platform/servers/ServerLink.java
+++ b/src/main/java/damsonslip/platform/servers/ServerLink.java
@@ -6,6 +6,7 @@
 import damsonslip.core.Loop;
 import damsonslip.core.SlowPeer;
 import damsonslip.datarate.MinimumDataRate;
+import damsonslip.membership.ProbeResult;
 import damsonslip.net.Lines;
 import damsonslip.net.Link;
 import damsonslip.net.Outflow;
@@ -118,11 +119,11 @@
     }
 
     /** The probe has ended, and its time with it: the next one on this link has its own. */
-    private void probed(boolean ok, Report told) {
+    private void probed(ProbeResult result, Report told) {
         if (probing) {
             probing = false;
             probeTime.cancel();
-            side.probed(worker, ok, told);
+            side.probed(worker, result, told);
         }
     }
 
@@ -256,7 +257,7 @@
             return;
         }
         if (probing) {
-            probed(status == 200, report);
+            probed(status == 200 ? ProbeResult.HEALTHY : ProbeResult.UNHEALTHY, report);
         } else if (execution != null) {
             boolean turnedAway = unprocessed && (status == 503 || status == 504);
             boolean unproven = turnedAway && !settled() && side.once(execution);
@@ -294,7 +295,7 @@
         if (busy && status == 0 && idledUs >= 0) {
             side.keptAge().seen(idledUs, true);
         }
-        probed(false, null);
+        probed(ProbeResult.UNREACHABLE, null);
         finish(written ? Outcome.RESET : Outcome.NOT_CONNECTED, null);
     }
 
--- a/src/main/java/damsonslip/platform/servers/ServerSide.java
+++ b/src/main/java/damsonslip/platform/servers/ServerSide.java
@@ -15,6 +15,7 @@
 import damsonslip.core.WorkerSide;
 import damsonslip.invariants.CloseGuard;
 import damsonslip.membership.DiscoveryWatch;
+import damsonslip.membership.ProbeResult;
 import damsonslip.net.DialFailure;
 import damsonslip.net.Link;
 import damsonslip.net.Links;
@@ -236,7 +237,9 @@
         if (!maySend(execution.worker())) {
             counters.add(Count.DRAINED_SENDS_STOPPED);
             idle(link);
-            driver.ended(execution, Execution.End.of(Outcome.NOT_CONNECTED));
+            // a lease that has run out meanwhile says nothing of the worker
+            Outcome outcome = mayProbe(execution.worker()) ? Outcome.NEVER_SENT : Outcome.NOT_CONNECTED;
+            driver.ended(execution, Execution.End.of(outcome));
             return;
         }
         long toldUs = ServerLink.toldUs(execution, loop().now());
@@ -250,7 +253,12 @@
     }
 
     private boolean maySend(String worker) {
-        return driver.mayUseList() && hosts.maySend(worker, loop().now()) && !driver.bars(worker);
+        return driver.mayUse(worker) && mayProbe(worker);
+    }
+
+    /** Whether nothing that is known here keeps a worker from being asked; a probe is how to learn more. */
+    private boolean mayProbe(String worker) {
+        return hosts.maySend(worker, loop().now()) && !driver.bars(worker);
     }
 
     void written(Execution execution) {
@@ -286,31 +294,32 @@
     @Override
     public void probe(String worker) {
         InetSocketAddress address = hosts.address(worker);
-        if (address == null || !maySend(worker)) {
-            loop().execute(() -> driver.probed(worker, false, null));
+        if (address == null || !mayProbe(worker)) {
+            loop().execute(() -> driver.probed(worker, ProbeResult.NOT_SENT, null));
             return;
         }
         ServerLink kept = keptLink(worker, Effect.SAFE);
         if (kept != null) {
             ask(kept);
         } else if (makeRoom()) {
-            connect(worker, address, () -> false, this::ask, why -> driver.probed(worker, false, null));
+            connect(worker, address, () -> false, this::ask, why -> driver.probed(worker,
+                why == DialFailure.LOCAL ? ProbeResult.NOT_SENT : ProbeResult.UNREACHABLE, null));
         } else {
-            loop().execute(() -> driver.probed(worker, false, null));
+            loop().execute(() -> driver.probed(worker, ProbeResult.NOT_SENT, null));
         }
     }
 
     private void ask(ServerLink link) {
-        if (!maySend(link.worker())) { // the news came while the link was opened
+        if (!mayProbe(link.worker())) { // the news came while the link was opened
             idle(link);
-            driver.probed(link.worker(), false, null);
+            driver.probed(link.worker(), ProbeResult.NOT_SENT, null);
             return;
         }
         link.probe(site.probeUs());
     }
 
-    void probed(String worker, boolean ok, Report report) {
-        driver.probed(worker, ok, report);
+    void probed(String worker, ProbeResult result, Report report) {
+        driver.probed(worker, result, report);
     }
 
     /** The configuration names this address of discovery, by a reload that was asked for at that time. */
--- a/src/main/java/damsonslip/simhost/WireLine.java
+++ b/src/main/java/damsonslip/simhost/WireLine.java
@@ -16,6 +16,7 @@
 import damsonslip.Dispatch.Report;
 import damsonslip.Dispatch.Status;
 import damsonslip.Dispatch.TimerDue;
+import damsonslip.membership.ProbeResult;
 import damsonslip.settings.BadInput;
 import java.io.IOException;
 import java.util.ArrayList;
@@ -191,7 +192,8 @@
                 closed, load);
             case "vanished" -> new JobGone(needed(opId, "op_id"));
             case "probe_result" ->
-                new ProbeEnded(needed(runner, "runner"), outcome() == Outcome.SERVED, load);
+                new ProbeEnded(needed(runner, "runner"),
+                    outcome() == Outcome.SERVED ? ProbeResult.HEALTHY : ProbeResult.UNREACHABLE, load);
             case "deadline_hit" -> new TimerDue(needed(label, "label"));
             case "ack_first", "memo" -> null;
             default -> throw new BadInput("unknown cmd: " + cmd);
--- a/src/test/java/damsonslip/ColdFleet.java
+++ b/src/test/java/damsonslip/ColdFleet.java
@@ -23,6 +23,7 @@
 import damsonslip.Dispatch.Status;
 import damsonslip.Dispatch.TimerDue;
 import damsonslip.Dispatch.WatchList;
+import damsonslip.membership.ProbeResult;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
@@ -190,7 +191,7 @@
                 if (w.up) {
                     reach(w, HANDSHAKE_US);
                 }
-                later(NETWORK_US, new ProbeEnded(w.id, w.up, w.up ? w.report(true) : null));
+                later(NETWORK_US, new ProbeEnded(w.id, w.up ? ProbeResult.HEALTHY : ProbeResult.UNREACHABLE, w.up ? w.report(true) : null));
             } else if (action instanceof WatchList) {
                 throw new IllegalStateException("lists are pushed here");
             }
--- a/src/test/java/damsonslip/FetchingWorkersTest.java
+++ b/src/test/java/damsonslip/FetchingWorkersTest.java
@@ -13,6 +13,7 @@
 import damsonslip.Dispatch.Report;
 import damsonslip.Dispatch.Send;
 import damsonslip.Dispatch.WorkerState;
+import damsonslip.membership.ProbeResult;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
@@ -36,7 +37,7 @@
     }
 
     private static void offers(Script script, String worker, int free, int slots) {
-        script.give(new ProbeEnded(worker, true, Report.offered(free, Double.NaN, slots - free, slots)));
+        script.give(new ProbeEnded(worker, ProbeResult.HEALTHY, Report.offered(free, Double.NaN, slots - free, slots)));
     }
 
     private static void ended(Script script, String id, Outcome outcome) {
--- a/src/test/java/damsonslip/FourRulesTest.java
+++ b/src/test/java/damsonslip/FourRulesTest.java
@@ -24,6 +24,7 @@
 import damsonslip.Dispatch.Send;
 import damsonslip.Dispatch.Status;
 import damsonslip.Dispatch.WatchList;
+import damsonslip.membership.ProbeResult;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -82,7 +83,7 @@
         assertTrue(script.ended("x", 0, Outcome.SERVED).isEmpty());
         assertTrue(script.started("x", 3).isEmpty());
         assertTrue(script.give(new JobGone("x")).isEmpty());
-        assertTrue(script.give(new Dispatch.ProbeEnded("nobody", true, null)).isEmpty());
+        assertTrue(script.give(new Dispatch.ProbeEnded("nobody", ProbeResult.HEALTHY, null)).isEmpty());
         assertTrue(script.give(new Dispatch.TimerDue("j:x")).isEmpty());
     }
 
--- /dev/null
+++ b/src/test/java/damsonslip/ProbedWorkersTest.java
@@ -0,0 +1,188 @@
+package damsonslip;
+
+import static damsonslip.Script.SECOND;
+import static damsonslip.Script.jobClass;
+import static damsonslip.Script.only;
+import static damsonslip.Script.sentTo;
+import static damsonslip.Script.worker;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.Dispatch.Action;
+import damsonslip.Dispatch.Effect;
+import damsonslip.Dispatch.Group;
+import damsonslip.Dispatch.ListMode;
+import damsonslip.Dispatch.ListUpdate;
+import damsonslip.Dispatch.Outcome;
+import damsonslip.Dispatch.Probe;
+import damsonslip.Dispatch.ProbeEnded;
+import damsonslip.Dispatch.Refuse;
+import damsonslip.Dispatch.Settings;
+import damsonslip.membership.ProbeResult;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** What is sent while no list of discovery holds: nothing but to workers that have just said that they take work. */
+class ProbedWorkersTest {
+    /** The list of a watch that was lost holds for 6.35 s; discovery fails all calls from then on. */
+    private static final long NO_LIST_US = 7 * SECOND;
+    /** The grace of a drain, less what bytes need to leave. */
+    private static final long LEASE_US = 350_000;
+
+    private final Script script = new Script(settings());
+
+    private static Settings settings() {
+        return Script.settings(1, 0, List.of(), true, jobClass(Effect.SAFE, Group.ALL)).withProbesThatTellDrains();
+    }
+
+    /** Two workers whose list holds no more, and was heard until its watch was lost. */
+    private void loseTheList() {
+        script.list(ListMode.KEPT, worker("a"), worker("b"));
+        script.list(ListMode.COMPLETE, worker("a"), worker("b"));
+        script.give(new ListUpdate(ListMode.FAILED, List.of(), script.now));
+        long end = script.now + NO_LIST_US;
+        while (script.now < end) {
+            if (!only(script.pass(SECOND / 10), Dispatch.WatchList.class).isEmpty()) {
+                script.give(new ListUpdate(ListMode.FAILED, List.of(), script.now));
+            }
+        }
+    }
+
+    private static String probed(List<Action> actions) {
+        List<Probe> probes = only(actions, Probe.class);
+        return probes.isEmpty() ? null : probes.get(0).worker();
+    }
+
+    private List<Action> answers(String worker, ProbeResult result) {
+        return script.give(new ProbeEnded(worker, result, null));
+    }
+
+    @Test
+    void sendsToAWorkerThatSaysItTakesWork() {
+        loseTheList();
+        List<Action> first = script.job("j1");
+        assertNull(sentTo(first, "j1"), "nobody vouches for its worker");
+        String asked = probed(first);
+        assertNotNull(asked);
+        script.pass(LEASE_US / 2);
+        assertEquals(asked, sentTo(answers(asked, ProbeResult.HEALTHY), "j1"));
+    }
+
+    /** A drain that began when the probe was sent ends its grace so long after that. */
+    @Test
+    void aLeaseCountsFromTheProbeAndNotFromItsAnswer() {
+        loseTheList();
+        String asked = probed(script.job("j1"));
+        script.pass(LEASE_US - 10_000);
+        answers(asked, ProbeResult.HEALTHY);
+        assertTrue(script.rules.mayUse(asked, script.now));
+        assertFalse(script.rules.mayUse(asked, script.now + 10_000));
+        script.pass(20_000);
+        assertNull(sentTo(script.job("j2"), "j2"));
+    }
+
+    @Test
+    void anAnswerThatComesTooLateIsNoLease() {
+        loseTheList();
+        String asked = probed(script.job("j1"));
+        script.pass(LEASE_US);
+        assertNull(sentTo(answers(asked, ProbeResult.HEALTHY), "j1"));
+    }
+
+    @Test
+    void asksTheNextWorkerWhereOneSaysNo() {
+        loseTheList();
+        String asked = probed(script.job("j1"));
+        List<Action> after = answers(asked, ProbeResult.UNHEALTHY);
+        assertNull(sentTo(after, "j1"));
+        String other = probed(after);
+        assertNotNull(other);
+        assertFalse(asked.equals(other));
+        assertEquals(other, sentTo(answers(other, ProbeResult.HEALTHY), "j1"));
+    }
+
+    /** Who was out of reach since discovery was heard may have started anew, and is cold then. */
+    @Test
+    void aWorkerThatWasOutOfReachWaitsForAList() {
+        loseTheList();
+        String asked = probed(script.job("j1"));
+        String other = probed(answers(asked, ProbeResult.UNREACHABLE));
+        answers(other, ProbeResult.UNREACHABLE);
+        List<Action> all = new ArrayList<>(script.pass(3 * SECOND));
+        all.addAll(script.job("j2"));
+        assertTrue(only(all, Probe.class).isEmpty());
+        assertEquals(1, only(all, Refuse.class).stream().filter(refused -> refused.job().equals("j2")).count(),
+            "nobody can be asked: it is answered at once");
+        script.list(ListMode.CHANGES);
+        assertNotNull(sentTo(script.job("j3"), "j3"), "a list tells of restarts");
+    }
+
+    @Test
+    void aConnectionThatBreaksUnderAnAttemptEndsTheLease() {
+        loseTheList();
+        String asked = probed(script.job("j1"));
+        answers(asked, ProbeResult.HEALTHY);
+        assertTrue(script.rules.mayUse(asked, script.now));
+        script.ended("j1", 0, Outcome.RESET);
+        assertFalse(script.rules.mayUse(asked, script.now));
+    }
+
+    @Test
+    void aJobAsksOneWorkerAtATime() {
+        loseTheList();
+        List<Action> all = new ArrayList<>(script.job("j1"));
+        all.addAll(script.pass(LEASE_US));
+        assertEquals(1, only(all, Probe.class).size());
+    }
+
+    /** A probe that this machine cannot send says nothing of the worker, which is asked again. */
+    @Test
+    void asksAgainWhereAProbeCouldNotBeSent() {
+        loseTheList();
+        String asked = probed(script.job("j1"));
+        String other = probed(answers(asked, ProbeResult.NOT_SENT));
+        answers(other, ProbeResult.NOT_SENT);
+        String again = probed(script.pass(SECOND / 5));
+        assertNotNull(again);
+        assertEquals(again, sentTo(answers(again, ProbeResult.HEALTHY), "j1"));
+    }
+
+    /** While a list holds nobody is asked. */
+    @Test
+    void aListThatHoldsNeedsNoProbe() {
+        script.list(ListMode.KEPT, worker("a"), worker("b"));
+        script.list(ListMode.COMPLETE, worker("a"), worker("b"));
+        assertNotNull(sentTo(script.job("j1"), "j1"));
+        assertTrue(only(script.all, Probe.class).isEmpty());
+    }
+
+    /** A process that has just started may have a list of long ago; its workers are asked until discovery has told. */
+    @Test
+    void aStartAsksBeforeItsFirstCallHasEnded() {
+        script.list(ListMode.KEPT, worker("a"), worker("b"));
+        String asked = probed(script.job("j1"));
+        assertNotNull(asked);
+        assertEquals(asked, sentTo(answers(asked, ProbeResult.HEALTHY), "j1"));
+    }
+
+    /** Where probes tell nothing of drains, or a worker is told as draining, none counts. */
+    @ParameterizedTest
+    @EnumSource(ProbeResult.class)
+    void whereProbesTellNothingOfDrainsNothingIsSent(ProbeResult result) {
+        Script other = new Script(Script.settings(1, 0, List.of(), true, jobClass(Effect.SAFE, Group.ALL)));
+        other.list(ListMode.KEPT, worker("a"));
+        other.list(ListMode.COMPLETE, worker("a"));
+        other.give(new ListUpdate(ListMode.FAILED, List.of(), other.now));
+        other.now += NO_LIST_US;
+        other.give(new ProbeEnded("a", result, null));
+        List<Action> at = other.job("j1");
+        assertNull(sentTo(at, "j1"));
+        assertEquals(1, only(at, Refuse.class).size());
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonslip/platform/ProbedWorkersServeTest.java
@@ -0,0 +1,97 @@
+package damsonslip.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import damsonslip.kit.Peer;
+import damsonslip.kit.Program;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** The real program while discovery fails all calls and its last list holds no more: its workers are asked themselves. */
+class ProbedWorkersServeTest extends PlatformStage {
+    /** A list holds so long after discovery was last heard at the most. */
+    private static final long LIST_ENDS_MS = 6_500;
+    private static final long GRACE_NS = TimeUnit.MILLISECONDS.toNanos(500);
+    private static final long ASKED_FOR_NS = TimeUnit.SECONDS.toNanos(2);
+
+    private final AtomicBoolean failing = new AtomicBoolean();
+    private final AtomicInteger ids = new AtomicInteger();
+    private volatile long lastSentNs;
+
+    private final Work servesAndTakesWork = (peer, job) -> {
+        if (job.first().startsWith("GET /load ")) {
+            peer.send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        } else {
+            lastSentNs = System.nanoTime();
+            SERVE.on(peer, job);
+        }
+    };
+    private final AtomicBoolean draining = new AtomicBoolean();
+    private final Work drains = (peer, job) -> {
+        if (draining.get() && job.first().startsWith("GET /load ")) {
+            peer.send("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+        } else {
+            servesAndTakesWork.on(peer, job);
+        }
+    };
+
+    private void startAndLoseTheList(String worker) throws Exception {
+        discovery = new Peer.Server(0, peer -> {
+            peer.message();
+            if (failing.get()) {
+                failCall(peer);
+                return;
+            }
+            peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").chunk(list(7, false));
+            for (int i = 0; i < 30; i++) {
+                Thread.sleep(1_000);
+                peer.chunk("");
+            }
+        });
+        servers.add(discovery);
+        startCounting(file -> file.replace("\"may_cancel\":true", "\"may_cancel\":true,\"may_probe\":true"), worker);
+        awaitDiscovery();
+        failing.set(true);
+        discovery.endConnections();
+        Thread.sleep(LIST_ENDS_MS);
+    }
+
+    private int ask() throws IOException {
+        return ask(query("q" + ids.incrementAndGet(), "read", "1000m")).status();
+    }
+
+    @Test
+    void servesByWorkersThatSayTheyTakeWork() throws Exception {
+        startAndLoseTheList(worker("a", servesAndTakesWork));
+        for (int i = 0; i < 20; i++) {
+            assertEquals(200, ask());
+        }
+        assertTrue(countsAny("list_failures"));
+    }
+
+    /** What the worker itself says counts at once, though discovery cannot tell of its drain. */
+    @Test
+    void sendsNothingToAWorkerThatDrainsMeanwhile() throws Exception {
+        startAndLoseTheList(worker("a", drains));
+        assertEquals(200, ask());
+        draining.set(true);
+        long drainingNs = System.nanoTime();
+        while (System.nanoTime() - drainingNs < ASKED_FOR_NS) {
+            ask();
+        }
+        assertTrue(lastSentNs - drainingNs < GRACE_NS, (lastSentNs - drainingNs) / 1_000_000 + " ms after it drains");
+        Program.await("it is turned away", () -> counts503());
+    }
+
+    private boolean counts503() {
+        try {
+            return ask() == 503;
+        } catch (IOException e) {
+            throw new AssertionError(e);
+        }
+    }
+}
