Send by workers' own answers to probes while no list of discovery holds

From the end of the last list until the next one all was turned away, beside workers that take work. Change: while no list holds, a job asks the worker that it would go to by a probe (one worker at a time). An answer of 200 is a lease: the worker may be sent to until the grace of a drain that began when the probe was sent is over, whatever became of discovery. A worker whose connection failed since discovery was last heard has to wait for a list, since it may have started anew, cold. The network's last check before a send goes by the same lease.

--- /dev/null
+++ b/src/main/java/damsonslip/Probes.java
@@ -0,0 +1,85 @@
+package damsonslip;
+
+import damsonslip.Dispatch.Action;
+import damsonslip.Dispatch.Limits;
+import damsonslip.Dispatch.Probe;
+import damsonslip.Dispatch.ProbeEnded;
+import damsonslip.Known.Job;
+import damsonslip.Known.Worker;
+import java.util.List;
+import java.util.function.Predicate;
+
+/**
+ * Which workers are probed: in rounds, for their load, where nothing else reports it; and one by one, for a lease
+ * ({@link damsonslip.membership.WorkerLease}), while no list of discovery holds.
+ *
+ * <p>Decides from what {@link Worker} holds; times are those of the events. Not safe for use by several threads.
+ */
+final class Probes {
+    /** Work that a new connection or a probe is taken to cost a cold worker. */
+    static final double COST_US = 3_000;
+    /** Probes for load may cost this many points of service for each job. */
+    private static final double POINTS = 0.003;
+    /** Each worker is probed for its load this often at the most. */
+    private static final long EVERY_US = 400_000;
+    /** Own jobs a second, at the least, by which probes are counted. */
+    private static final double LEAST_RATE = 10;
+    private static final double MOST_PER_JOB = 2;
+    private static final double MOST_AT_ONCE = 20;
+    private static final double SECOND = 1e6;
+
+    private List<Worker> round = List.of();
+    private int next;
+    private double allowance;
+
+    /** These are the workers to probe in turn. */
+    void cover(List<Worker> running) {
+        round = running;
+    }
+
+    /** The workers that are probed in turn. */
+    List<Worker> round() {
+        return round;
+    }
+
+    /**
+     * Probes the next workers of the round.
+     *
+     * @param rate    own jobs a second
+     * @param sinceUs time since the last call
+     * @param bears   whether a worker bears the work of a probe
+     */
+    void probeNext(double rate, long sinceUs, Limits limits, Predicate<Worker> bears, long nowUs, List<Action> to) {
+        double perJob = Math.min(MOST_PER_JOB, POINTS / Math.max(1e-6, limits.probePrice()));
+        double perSecond = Math.min(round.size() * SECOND / EVERY_US, Math.max(rate, LEAST_RATE) * perJob);
+        allowance = Math.min(allowance + perSecond * sinceUs / SECOND, MOST_AT_ONCE);
+        for (int i = 0; i < round.size() && allowance >= 1; i++) {
+            Worker w = round.get(next++ % round.size());
+            if (w.running && bears.test(w)) {
+                allowance--;
+                send(w, nowUs, to);
+            }
+        }
+    }
+
+    /** Probes a worker for a lease on behalf of this job, which has not asked another one meanwhile. */
+    void probeFor(Job job, Worker w, long nowUs, List<Action> to) {
+        job.probed = w;
+        send(w, nowUs, to);
+    }
+
+    /** Whether the job has asked for a lease that may come yet. */
+    boolean awaitsLease(Job job) {
+        return job.probed != null && job.probed.lease.isAwaited();
+    }
+
+    private void send(Worker w, long nowUs, List<Action> to) {
+        w.lease.probeSent(nowUs);
+        to.add(new Probe(w.id));
+    }
+
+    /** A probe of the worker has ended. */
+    void ended(Worker w, ProbeEnded probe, long graceUs, long nowUs) {
+        w.lease.probeEnded(probe.result(), graceUs, nowUs);
+    }
+}
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -8,6 +8,7 @@
 import damsonslip.membership.StartTimes;
 import java.util.*;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 /**
@@ -82,18 +83,8 @@
     private static final double BORROW_AFTER = 0.15;
     /** A job that has waited for this part of the slack is turned away if others wait behind it. */
     private static final double LATE = 0.3;
-    /** Pools are cut by parts of the load on this grid: dispatchers with noisy estimates must cut alike. */
-    private static final double GRID = 16;
-    /** A class's part of the load must leave its grid point by this many steps before pools are cut anew. */
-    private static final double MOVE = 0.8;
-    /** Work that a new connection or a probe is taken to cost a cold worker. */
-    private static final double HANDSHAKE_US = 3_000;
     /** No client is told to stay away for longer: things look different by then. */
     private static final double MOST_RETRY_US = 10e6;
-    /** Probes may cost this many points of service for each job. */
-    private static final double PROBE_POINTS = 0.003;
-    /** Each worker is probed this often at the most. */
-    private static final long PROBE_US = 400_000;
     /** The log says how things stand this often. */
     private static final long LOG_US = 10_000_000;
     private static final double SECOND = 1e6;
@@ -116,12 +107,13 @@
     private final int[] tenantArrivals, kindSlots;
     private final FreeSeen[] freeSeen;
     private final Free[] freeAnywhere = {new Free(), new Free()};
-    private List<Worker> probeRound = List.of();
+    private final Probes probes = new Probes();
+    private final Dealing dealing;
     private List<Action> actions;
-    private double busier = 1, all, measured, probeAllowance, movesLeft = 1;
+    private double busier = 1, measured, movesLeft = 1;
     private long now = Long.MIN_VALUE, orders, dealtAt, quotaAt, loggedAt;
     private boolean started, sweeping, subjects = true;
-    private int probeNext, borrowed, moved, beyondQuota, turnedAway;
+    private int borrowed, moved, beyondQuota, turnedAway;
 
     /** A dispatcher that knows nothing yet; the same seed and events give the same actions. */
     public Rules(Settings settings, long seed) {
@@ -134,6 +126,7 @@
         for (int i = 0; i < pools.length; i++) {
             pools[i] = new Pool(settings.classes().get(i), settings.kinds(), settings.zones());
         }
+        this.dealing = new Dealing(pools);
         int tenants = settings.tenantQuotas().size();
         this.quotaLevel = new double[tenants];
         this.tenantRate = new double[tenants];
@@ -303,11 +296,6 @@
         busier = Known.busier(tenantRate, settings);
     }
 
-    /** Slots that a class keeps busy at this dispatcher's part of it: lambda / mu. */
-    private static double load(Pool pool) {
-        return pool.steady * pool.time / SECOND * pool.slotsPerJob;
-    }
-
     private static double aim(Pool pool) {
         return pool.of.aimUs() + pool.of.stretch() * pool.time;
     }
@@ -379,22 +367,10 @@
     // ---- pools by offered load, and thresholds (the design's ordinary path)
 
     private void deal() {
-        settle();
-        List<List<Worker>> byKind = lists(kindSlots.length);
-        probeRound = new ArrayList<>();
-        for (Worker w : workers.values()) {
-            w.pool = null;
-            if (w.running) {
-                byKind.get(w.kind).add(w);
-                probeRound.add(w);
-            }
-        }
-        double[][] loads = loadsByKind(byKind);
-        List<List<Worker>> members = lists(pools.length);
-        Arrays.stream(pools).forEach(pool -> pool.slots = 0);
-        for (int k = 0; k < kindSlots.length; k++) {
-            dealKind(byKind.get(k), loads[k], members);
-        }
+        workers.values().forEach(w -> w.pool = null);
+        List<Worker> running = workers.values().stream().filter(w -> w.running).toList();
+        probes.cover(running);
+        List<List<Worker>> members = dealing.deal(running, kindSlots, settings);
         for (int i = 0; i < pools.length; i++) {
             equip(pools[i], members.get(i), subjects ? POINTS : 1);
         }
@@ -413,77 +389,6 @@
         pool.share = Math.max(1, (int) Math.round(k / settings.dispatchers()));
     }
 
-    private static List<List<Worker>> lists(int count) {
-        return Stream.generate(() -> (List<Worker>) new ArrayList<Worker>()).limit(count).toList();
-    }
-
-    /** Pools keep their size until a class's part of the load has clearly moved: subjects move with it. */
-    private void settle() {
-        double sum = Arrays.stream(pools).mapToDouble(Rules::load).sum();
-        if (sum > 0 && Arrays.stream(pools).anyMatch(p -> Math.abs(load(p) / sum - p.dealt) > MOVE / GRID)) {
-            for (Pool pool : pools) {
-                pool.dealt = Math.max(1, Math.rint(load(pool) / sum * GRID)) / GRID;
-            }
-        }
-        all = Math.max(1, sum * settings.dispatchers());
-    }
-
-    /** Bound load claims its kind first; unbound load spreads over what is left of each kind. */
-    private double[][] loadsByKind(List<List<Worker>> byKind) {
-        double[][] loads = new double[kindSlots.length][pools.length];
-        double[] left = new double[kindSlots.length];
-        // in overload bound load must not take its kind whole
-        all = Math.min(all, probeRound.stream().mapToDouble(w -> w.slots(kindSlots)).sum());
-        double room = 0;
-        for (int k = 0; k < left.length; k++) {
-            left[k] = byKind.get(k).size() * kindSlots[k];
-            for (int i = 0; i < pools.length; i++) {
-                if (pools[i].of.kind() == k) {
-                    loads[k][i] = pools[i].dealt * all;
-                    left[k] -= loads[k][i];
-                }
-            }
-            left[k] = Math.max(left[k], 0.1 * byKind.get(k).size());
-            room += left[k];
-        }
-        for (int k = 0; k < left.length && room > 0; k++) {
-            for (int i = 0; i < pools.length; i++) {
-                if (pools[i].of.kind() < 0) {
-                    loads[k][i] = pools[i].dealt * all * left[k] / room;
-                }
-            }
-        }
-        return loads;
-    }
-
-    /** n = floor(N rho / sum rho + 0.5) in sorted id order, the last class the rest, one worker at least. */
-    private void dealKind(List<Worker> sorted, double[] loads, List<List<Worker>> members) {
-        double sum = Arrays.stream(loads).sum();
-        int classes = (int) Arrays.stream(loads).filter(load -> load > 0).count();
-        List<Worker> rest = new ArrayList<>(sorted);
-        for (int i = 0; i < loads.length; i++) {
-            if (loads[i] == 0) {
-                continue;
-            }
-            int n = Math.max(1, (int) Math.floor(sorted.size() * loads[i] / sum + 0.5));
-            n = --classes == 0 ? rest.size() : Math.min(n, Math.max(0, rest.size() - classes));
-            if (n == 0 && !sorted.isEmpty() && members.get(i).isEmpty()) {
-                members.get(i).add(sorted.get(sorted.size() - 1)); // fewer workers than classes
-            }
-            int[] zones = new int[settings.zones()];
-            members.get(i).forEach(w -> zones[w.zone]++);
-            for (int taken = 0; taken < n; taken++) {
-                // the first by id of the zone that the pool has least of: some of it is near each dispatcher
-                Worker w = Collections.min(rest, (one, other) -> zones[one.zone] - zones[other.zone]);
-                zones[w.zone]++;
-                rest.remove(w);
-                members.get(i).add(w);
-                w.pool = pools[i];
-                pools[i].slots += w.slots(kindSlots);
-            }
-        }
-    }
-
     // ---- arrival, quota, admission
 
     private void arrived(JobArrived ask) {
@@ -504,7 +409,7 @@
         pool.arrivals += beyond ? 0 : 1;
         // in overload all would use their swing at once, so it shrinks as the pool fills
         double most = pool.share + SWING * Math.sqrt(pool.share) * Math.min(1, 2 * freeShare(pool));
-        if (beyond || !discovery.mayWait(now)) {
+        if (beyond || !mayWait()) {
             answer(job);
         } else if (pool.present > most && !seenFree) {
             Worker lent = ask.subject() == null ? borrow(pool, job) : null;
@@ -562,12 +467,13 @@
             if (w != null) {
                 job.held = false;
                 send(job, w);
-            } else if (!mayRepeat(job, job.risk) || !discovery.mayWait(now)) {
+            } else if (!mayRepeat(job, job.risk) || !mayWait()) {
                 answer(job); // its window, or the time that the list holds for, has ended while it was held
             } else if (job.attempts.isEmpty() && !pool.hold.isEmpty() && pressed(job)) {
                 answer(job); // others wait behind it, and served in order all would be just too late
             } else {
                 passed.add(job);
+                probeFor(pool, job);
             }
         }
         pool.hold.addAll(passed);
@@ -584,7 +490,7 @@
 
     private Worker place(Pool pool, Job job) {
         if (job.risk != null && grouped(pool)) {
-            return chooseInGroup(pool, job);
+            return chooseInGroup(pool, job, w -> mayTake(w, job));
         }
         boolean anywhere = job.ask.subject() == null;
         double patience = anywhere ? BORROW_AFTER * (aim(pool) - pool.time) : LATE * slack(pool);
@@ -617,6 +523,10 @@
      * than a short wait.
      */
     private Worker choose(Pool pool, Job job, boolean far) {
+        return choose(pool, job, far, w -> mayTake(w, job));
+    }
+
+    private Worker choose(Pool pool, Job job, boolean far, Predicate<Worker> may) {
         Worker[] ring = pool.ring;
         boolean anywhere = job.ask.subject() == null;
         long hash = anywhere ? random.nextLong() : Ring.mix(job.ask.subject() + SUBJECT_SALT);
@@ -629,7 +539,7 @@
         Worker before = null;
         for (int i = 0; i < Math.min(WALK, ring.length) && near > 0; i++) {
             Worker w = ring[(at + i) % ring.length];
-            if (w == before || !mayTake(w, job) || w.pace(now) > SLOW && !pressed(job)) {
+            if (w == before || !may.test(w) || w.pace(now) > SLOW && !pressed(job)) {
                 continue;
             }
             before = w;
@@ -660,10 +570,10 @@
     }
 
     /** A repeat that may have run goes only where repeats are dropped, even outside its pool (rule 2). */
-    private Worker chooseInGroup(Pool pool, Job job) {
+    private Worker chooseInGroup(Pool pool, Job job, Predicate<Worker> may) {
         Worker first = job.risk.worker;
         return workers.values().stream().filter(w -> sameGroup(pool, w, first))
-            .filter(w -> mayTake(w, job) && free(w) >= job.ask.slots() + ROOM - 1).findFirst().orElse(null);
+            .filter(w -> may.test(w) && free(w) >= job.ask.slots() + ROOM - 1).findFirst().orElse(null);
     }
 
     private static boolean grouped(Pool pool) {
@@ -682,9 +592,18 @@
     }
 
     private boolean mayTake(Worker w, Job job) {
+        return mayUse(w) && couldTake(w, job);
+    }
+
+    /** Whether discovery's list, or the worker's own answer, allows to send to it (rule 3). */
+    private boolean mayUse(Worker w) {
+        return discovery.isUsable(now) || leases() && w.lease.isValid(now);
+    }
+
+    private boolean couldTake(Worker w, Job job) {
         int kind = pools[job.ask.jobClass()].of.kind();
-        return w.running && discovery.isUsable(now) && now >= w.pausedUntil && (kind < 0 || kind == w.kind)
-            && !silent(w) && job.ask.fits(w.id) && trusts(w, job) && coldAllows(w, cost(job));
+        return w.running && now >= w.pausedUntil && (kind < 0 || kind == w.kind) && !silent(w)
+            && job.ask.fits(w.id) && trusts(w, job) && coldAllows(w, cost(job));
     }
 
     /** A worker struck more than once is tried with what may be repeated, if there are others. */
@@ -695,7 +614,7 @@
     }
 
     private double cost(Job job) {
-        return pools[job.ask.jobClass()].time * job.ask.slots() + HANDSHAKE_US;
+        return pools[job.ask.jobClass()].time * job.ask.slots() + Probes.COST_US;
     }
 
     // ---- cold workers (rule 4)
@@ -810,8 +729,14 @@
                 w.pausedUntil = Math.max(w.pausedUntil, now + FULL_US / 2 + random.nextLong(FULL_US));
             }
             // an error counts too: a worker that fails at once looks free, and would draw all there is
-            case ERROR, NOT_CONNECTED, TIMED_OUT -> strike(w, w.suspect(outcome));
+            case ERROR, NOT_CONNECTED, TIMED_OUT -> {
+                strike(w, w.suspect(outcome));
+                if (outcome == Outcome.NOT_CONNECTED) {
+                    w.lease.connectionFailed(now);
+                }
+            }
             case RESET -> { // a lost link alone says little about a worker that has just answered on others
+                w.lease.connectionFailed(now);
                 if (now - w.answeredAt > ALIVE_US || w.strikes > 0) {
                     strike(w, true);
                 }
@@ -898,34 +823,66 @@
     // ---- probes
 
     private void probe() {
-        double perJob = Math.min(2, PROBE_POINTS / Math.max(1e-6, settings.limits().probePrice()));
         double own = Arrays.stream(pools).mapToDouble(pool -> pool.rate / settings.dispatchers()).sum();
-        double perSecond = Math.min(probeRound.size() * SECOND / PROBE_US, Math.max(own, 10) * perJob);
-        probeAllowance = Math.min(probeAllowance + perSecond * SWEEP_US / SECOND, 20);
-        for (int i = 0; i < probeRound.size() && probeAllowance >= 1; i++) {
-            Worker w = probeRound.get(probeNext++ % probeRound.size());
-            if (w.running && coldAllows(w, HANDSHAKE_US)) {
-                probeAllowance--;
-                coldBudget.spend(w, HANDSHAKE_US, now);
-                actions.add(new Probe(w.id));
-            }
-        }
+        probes.probeNext(own, SWEEP_US, settings.limits(), this::bearsProbe, now, actions);
         timer(SWEEP_US, PROBE);
     }
 
+    /** Whether a worker bears the work of a probe; it is spent then. */
+    private boolean bearsProbe(Worker w) {
+        boolean bears = coldAllows(w, Probes.COST_US);
+        if (bears) {
+            coldBudget.spend(w, Probes.COST_US, now);
+        }
+        return bears;
+    }
+
+    /** Whether a worker can be asked itself whether it takes work, and its answer holds for a while. */
+    private boolean leases() {
+        return settings.leasesByProbe() && discovery.graceUs() > 0;
+    }
+
+    /** Whether a job may wait: a list holds or may come any moment, or a worker can be asked itself. */
+    private boolean mayWait() {
+        return discovery.mayWait(now) || leases() && workers.values().stream().anyMatch(
+            w -> w.running && w.lease.isWorthAwaiting(discovery.heardUs(now), now));
+    }
+
+    private boolean isWorthProbing(Worker w) {
+        return w.lease.isWorthProbing(discovery.heardUs(now), now);
+    }
+
+    /** While no list holds, asks the worker that the job would go to whether it takes work. */
+    private void probeFor(Pool pool, Job job) {
+        if (!leases() || discovery.isUsable(now) || probes.awaitsLease(job)) {
+            return;
+        }
+        Predicate<Worker> asked = w -> couldTake(w, job) && isWorthProbing(w);
+        boolean bound = job.risk != null && grouped(pool);
+        Worker w = bound ? chooseInGroup(pool, job, asked) : choose(pool, job, false, asked);
+        if (w != null && bearsProbe(w)) {
+            probes.probeFor(job, w, now, actions);
+        }
+    }
+
     private void probed(ProbeEnded e) {
         Worker w = workers.get(e.worker());
-        if (w != null && e.result() == ProbeResult.HEALTHY) {
+        if (w == null) {
+            return;
+        }
+        probes.ended(w, e, discovery.graceUs(), now);
+        if (e.result() == ProbeResult.HEALTHY) {
             reported(w, e.report(), true);
-            released(w.pool);
         }
+        released(w.pool);
     }
 
     // ---- for people to read
 
-    /** Whether the worker may still be sent to: nothing is begun where no list of discovery holds. */
+    /** Whether the worker may still be sent to, by discovery's list or by its own answer. */
     public boolean mayUse(String worker, long nowUs) {
-        return workers.containsKey(worker) && discovery.isUsable(nowUs);
+        now = Math.max(now, nowUs);
+        return workers.containsKey(worker) && mayUse(workers.get(worker));
     }
 
     /** What a cold worker has had from here in its window, and what it bears; null if it is not cold. */
@@ -934,7 +891,7 @@
         if (w == null || !cold(w)) {
             return null;
         }
-        return coldBudget.load(w, settings, freeSeen[w.kind], pools[jobClass].time + HANDSHAKE_US, now);
+        return coldBudget.load(w, settings, freeSeen[w.kind], pools[jobClass].time + Probes.COST_US, now);
     }
 
     /** How the pools stand, by class. */
--- a/src/main/java/damsonslip/membership/WorkerLease.java
+++ b/src/main/java/damsonslip/membership/WorkerLease.java
@@ -4,9 +4,9 @@
  * What a worker's own answers to probes allow while no list of discovery holds.
  *
  * <p>A worker that drains answers a probe with 200 no more once discovery lists it as draining (measured, see
- * docs/incidents/2026-12-02-outages-and-service.md). So whoever gets that answer cannot have been told of a drain before the
- * probe was sent, and the grace of a drain cannot end before the probe's time and the grace. Until then the worker may be
- * sent to, whatever became of discovery. A worker whose connections failed since discovery was last heard may have been
+ * docs/incidents/2026-12-02-outages-and-service.md). So whoever gets that answer cannot have been told of a drain before
+ * the probe was sent, and the grace of a drain cannot end before the probe's time and the grace. Until then the worker may
+ * be sent to, whatever became of discovery. A worker whose connections failed since discovery was last heard may have been
  * started anew and be cold: only a list can tell.
  *
  * <p>All times are microseconds of the clock that the caller passes in. Not safe for use by several threads.
--- a/src/main/java/damsonslip/program/SignalThread.java
+++ b/src/main/java/damsonslip/program/SignalThread.java
@@ -30,8 +30,8 @@
     }
 
     /**
-     * Runs the action on each of these signals from now on, in place of what the JDK does by itself. Where the JDK's table of
-     * handlers cannot be replaced, the action runs on a thread that the JDK starts then.
+     * Runs the action on each of these signals from now on, in place of what the JDK does by itself. Where the JDK's table
+     * of handlers cannot be replaced, the action runs on a thread that the JDK starts then.
      *
      * @param names names of signals without their prefix, such as {@code TERM}
      */
--- a/src/test/java/damsonslip/ColdFleet.java
+++ b/src/test/java/damsonslip/ColdFleet.java
@@ -191,7 +191,8 @@
                 if (w.up) {
                     reach(w, HANDSHAKE_US);
                 }
-                later(NETWORK_US, new ProbeEnded(w.id, w.up ? ProbeResult.HEALTHY : ProbeResult.UNREACHABLE, w.up ? w.report(true) : null));
+                later(NETWORK_US, w.up ? new ProbeEnded(w.id, ProbeResult.HEALTHY, w.report(true))
+                    : new ProbeEnded(w.id, ProbeResult.UNREACHABLE, null));
             } else if (action instanceof WatchList) {
                 throw new IllegalStateException("lists are pushed here");
             }
--- a/src/test/java/damsonslip/platform/CrowdedDescriptorsTest.java
+++ b/src/test/java/damsonslip/platform/CrowdedDescriptorsTest.java
@@ -154,8 +154,8 @@
     }
 
     /**
-     * The system enforces the limit: whoever took another's descriptors would leave it none. Known clients are counted while
-     * discovery is watched; a list that nobody vouches for has an end, which a slow machine would reach.
+     * The system enforces the limit: whoever took another's descriptors would leave it none. Known clients are counted
+     * while discovery is watched; a list that nobody vouches for has an end, which a slow machine would reach.
      */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
--- a/src/test/java/damsonslip/platform/ThreadShortageTest.java
+++ b/src/test/java/damsonslip/platform/ThreadShortageTest.java
@@ -31,7 +31,8 @@
         List<String> newWatches = new CopyOnWriteArrayList<>();
         Peer.Server moved = discovery(new CopyOnWriteArrayList<>(), newWatches);
         startShortOfThreads();
-        program.reload(Files.readString(configuration).replace("127.0.0.1:" + discovery.port(), "127.0.0.1:" + moved.port()));
+        String before = "127.0.0.1:" + discovery.port();
+        program.reload(Files.readString(configuration).replace(before, "127.0.0.1:" + moved.port()));
         Program.await("it watches discovery where that is now", () -> !newWatches.isEmpty(), program);
     }
 
