--- a/src/test/java/damsonslip/platform/LastingFolderTest.java
+++ b/src/test/java/damsonslip/platform/LastingFolderTest.java
@@ -7,7 +7,11 @@
 import damsonslip.lab.soak.Errno;
 import damsonslip.lab.soak.SystemCall;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.List;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -51,4 +55,23 @@
         startManaged(worker("a", SERVE), worker("b", SERVE));
         program.awaitWord("took over the operators' bans");
     }
+
+    /** Another process has disabled a worker; that its file could not be read at once does not leave this one without. */
+    @Test
+    void takesOverWhatAnotherProcessHasKeptThoughItCannotBeReadAtOnce() throws Exception {
+        startManaged(worker("a", SERVE), worker("b", SERVE));
+        program.awaitWord("listens on");
+        Program.await("it takes commands", () -> call(mgmt, "READY").startsWith("YES"));
+        assertTrue(call(mgmt, "DISABLE a").startsWith("YES"));
+        Path kept = dir.resolve("damsonslip-bans");
+        String disabled = Files.readString(kept);
+        assertTrue(call(mgmt, "ENABLE a").startsWith("YES"));
+        assertTrue(call(mgmt, "STATS").contains("router.targets_disabled:0|g"));
+        faults.fail(SystemCall.FILE_READ_OPEN, Errno.EIO, 1);
+        Path written = Files.writeString(dir.resolve("of-another-process"), disabled);
+        Files.move(written, kept, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        program.awaitWord("cannot be read");
+        faults.restore(SystemCall.FILE_READ_OPEN);
+        Program.await("it has heard", () -> call(mgmt, "STATS").contains("router.targets_disabled:1|g"), program);
+    }
 }
