--- a/src/main/java/damsonslip/handover/SharedDirectory.java
+++ b/src/main/java/damsonslip/handover/SharedDirectory.java
@@ -156,15 +156,19 @@
         return path.resolve(LOCK_FILE_PREFIX + of);
     }
 
-    /** Returns the shared worker overrides if another process has written them since the last call; null otherwise. */
+    /**
+     * Returns the shared worker overrides if another process has written them since the last call that went well; null
+     * otherwise.
+     */
     public String readChangedOverrides() throws IOException {
         Path file = path.resolve(OVERRIDES_FILE);
         Object version = version(file);
         if (version == null || version.equals(lastVersion)) {
             return null;
         }
-        lastVersion = version;
-        return Files.readString(file);
+        String text = Files.readString(file);
+        lastVersion = version; // only now: what could not be read is read again
+        return text;
     }
 
     /**
