--- a/src/test/java/damsonslip/platform/LastingFolderTest.java
+++ b/src/test/java/damsonslip/platform/LastingFolderTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import damsonslip.kit.Peer;
 import damsonslip.kit.Program;
 import damsonslip.lab.soak.Errno;
 import damsonslip.lab.soak.SystemCall;
@@ -17,6 +18,8 @@
 
 /** The real program where the folder that lasts cannot be written. */
 class LastingFolderTest extends FaultStage {
+    private static final int SLOW_SYNC_MS = 2_000;
+
     private final int mgmt = Program.freePort();
 
     private void startManaged(String... entries) throws IOException {
@@ -74,4 +77,23 @@
         faults.restore(SystemCall.FILE_READ_OPEN);
         Program.await("it has heard", () -> call(mgmt, "STATS").contains("router.targets_disabled:1|g"), program);
     }
+
+    /** A disk that takes its time holds up the command that waits for it, and nobody else. */
+    @Test
+    void servesWhileTheDiskTakesItsTime() throws Exception {
+        startManaged(worker("a", SERVE), worker("b", SERVE));
+        program.awaitWord("listens on");
+        Program.await("it takes commands", () -> call(mgmt, "READY").startsWith("YES"));
+        assertEquals(200, ask(query("q0", "read", "4000m")).status());
+        faults.hold(SystemCall.FILE_SYNC, SLOW_SYNC_MS);
+        long syncs = faults.calls(SystemCall.FILE_SYNC);
+        try (Peer operator = Peer.connect(mgmt).send("DISABLE a\n")) {
+            Program.await("the disk is waited for", () -> faults.calls(SystemCall.FILE_SYNC) > syncs, program);
+            long askedNs = System.nanoTime();
+            assertEquals(200, ask(query("q1", "read", "4000m")).status());
+            long tookMs = (System.nanoTime() - askedNs) / 1_000_000;
+            assertTrue(tookMs < SLOW_SYNC_MS / 2, "answered after " + tookMs + " ms");
+            assertTrue(operator.line().startsWith("YES"), "once it is kept");
+        }
+    }
 }
