--- a/src/test/java/damsonslip/platform/DailyRunningTest.java
+++ b/src/test/java/damsonslip/platform/DailyRunningTest.java
@@ -133,6 +133,24 @@
         }
     }
 
+    /** A crowd comes while the process is held up, and the operator behind it: accepted at one go, they pass all room. */
+    @Test
+    void aCrowdThatCameDuringAHoldUpDoesNotTurnTheOperatorAway() throws Exception {
+        startWithMgmt(worker("a", SERVE));
+        program.signal("STOP");
+        List<Peer> holders = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            holders.add(Peer.connect(mgmt).send("REA"));
+        }
+        try (Peer operator = Peer.connect(mgmt).send("READY\n")) {
+            program.signal("CONT");
+            assertTrue(operator.line().startsWith("YES"));
+        }
+        for (Peer holder : holders) {
+            holder.close();
+        }
+    }
+
     /** Two bans, one call back; a list that says 'ready' does not lift it, and neither does a new start. */
     @Test
     void aWorkerTakenOutGetsNothingUntilItIsPutBack() throws Exception {
