Keep the shared folder off the event loop; let who finds no room wait to be accepted

A listener whose room is full rests for 2 ms instead of accepting (second address, Faktory); clients of the platform are admitted as before. A connection whose command is under way is not ended to make room. Open: a folder that could not be used at the start is opened again on the loop.

--- a/src/main/java/damsonslip/console/ConsoleConnection.java
+++ b/src/main/java/damsonslip/console/ConsoleConnection.java
@@ -60,16 +60,20 @@
         String line = commands.poll();
         answering = line != null;
         if (answering) {
-            String answer = server.answer(line).stripTrailing() + "\n" + END_OF_ANSWER + "\n";
-            write(() -> server.loop().execute(this::next), ByteBuffer.wrap(answer.getBytes(StandardCharsets.UTF_8)));
-            if (!isClosed()) {
-                reading.begin();
-            }
+            server.answer(line, this::answer);
         } else {
             again();
         }
     }
 
+    private void answer(String text) {
+        String answer = text.stripTrailing() + "\n" + END_OF_ANSWER + "\n";
+        write(() -> server.loop().execute(this::next), ByteBuffer.wrap(answer.getBytes(StandardCharsets.UTF_8)));
+        if (!isClosed()) {
+            reading.begin();
+        }
+    }
+
     private void tooSlow() {
         server.slowReader();
         end();
--- a/src/main/java/damsonslip/console/ConsoleServer.java
+++ b/src/main/java/damsonslip/console/ConsoleServer.java
@@ -14,6 +14,7 @@
 import damsonslip.net.Link;
 import damsonslip.net.Links;
 import damsonslip.operations.Metric;
+import damsonslip.operations.OperationResult;
 import damsonslip.operations.Operations;
 import damsonslip.settings.BadInput;
 import java.io.IOException;
@@ -23,6 +24,7 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.eclipse.jetty.io.EndPoint;
 import org.slf4j.Logger;
@@ -95,10 +97,23 @@
         return loop;
     }
 
-    /** Answers one command line; called on the event loop, so that the answer is a consistent snapshot. */
-    String answer(String line) {
+    /** Answers one command line on the event loop, so that the answer is a consistent snapshot, then or later. */
+    void answer(String line, Consumer<String> done) {
         String[] words = line.trim().split("\\s+");
-        return switch (words[0].toLowerCase(Locale.ROOT)) {
+        String command = words[0].toLowerCase(Locale.ROOT);
+        Consumer<OperationResult> result = changed -> done.accept(changed.message());
+        boolean changes = words.length == 2;
+        if (changes && command.equals("disable")) {
+            operations.disable(words[1], result);
+        } else if (changes && command.equals("enable")) {
+            operations.enable(words[1], result);
+        } else {
+            done.accept(answer(command, words));
+        }
+    }
+
+    private String answer(String command, String... words) {
+        return switch (command) {
             case "workers" -> workers();
             case "pools" -> pools(front.driver().pools());
             case "queues" -> queues(front.driver().pools());
@@ -109,8 +124,8 @@
             case "invariants" -> invariants();
             case "phase" -> operations.ready().message();
             case "stats" -> metrics();
-            case "disable" -> words.length != 2 ? "which worker? disable ID" : operations.disable(words[1]).message();
-            case "enable" -> words.length != 2 ? "which worker? enable ID" : operations.enable(words[1]).message();
+            case "disable" -> "which worker? disable ID";
+            case "enable" -> "which worker? enable ID";
             case "drain" -> operations.drain().message();
             case "undrain" -> operations.undrain().message();
             case "help" -> ConsoleCommands.HELP;
--- a/src/main/java/damsonslip/handover/SharedDirectory.java
+++ b/src/main/java/damsonslip/handover/SharedDirectory.java
@@ -173,7 +173,7 @@
 
     /**
      * Replaces the shared worker overrides atomically and durably: a crash leaves the old text or the new one, and once
-     * this returns it leaves the new one. A command waits for the disk, and the event loop with it; commands are rare.
+     * this returns it leaves the new one.
      */
     public void writeOverrides(String overrides) throws IOException {
         Path whole = path.resolve(OVERRIDES_FILE);
--- a/src/main/java/damsonslip/management/ManagementConnection.java
+++ b/src/main/java/damsonslip/management/ManagementConnection.java
@@ -13,11 +13,15 @@
     private static final int LONGEST_LINE = 512;
     /** Time for a complete request, and again for reading the response: twice what a response may take by the page. */
     private static final long REQUEST_TIMEOUT_US = 2_000_000;
+    /** A request is answered within a second (DAYS), also where the disk takes longer; saying it again is harmless. */
+    private static final long RESPONSE_TIMEOUT_US = 900_000;
 
     private final ManagementServer server;
     private final Lines lines = new Lines(LONGEST_LINE);
     private Loop.Timer timeout;
-    private boolean answered;
+    /** The request has come whole, or too late. */
+    private boolean taken;
+    private boolean responded;
     long openedUs;
 
     ManagementConnection(EndPoint endPoint, ManagementServer server) {
@@ -36,20 +40,36 @@
     protected void received(ByteBuffer bytes) {
         byte[] part = new byte[bytes.remaining()];
         bytes.get(part);
-        if (answered) {
+        if (taken) {
             return;
         }
         List<String> whole = lines.take(part);
         if (whole == null || whole.stream().anyMatch(line -> line.length() > LONGEST_LINE)) {
             finish(ManagementResponse.no("the line is too long"));
         } else if (!whole.isEmpty()) {
-            finish(server.answer(whole.get(0)));
+            taken = true;
+            timeout.cancel();
+            timeout = server.loop().in(RESPONSE_TIMEOUT_US,
+                () -> respond(ManagementResponse.no("not done yet; say it again")));
+            server.answer(whole.get(0), this::respond);
         }
     }
 
+    /** Whether its request is being carried out. */
+    boolean awaitsResult() {
+        return taken && !responded;
+    }
+
     private void finish(ByteBuffer response) {
-        if (!answered && !isClosed()) {
-            answered = true;
+        if (!taken) {
+            taken = true;
+            respond(response);
+        }
+    }
+
+    private void respond(ByteBuffer response) {
+        if (!responded && !isClosed()) {
+            responded = true;
             write(() -> { }, response);
             endWhenWritten();
             server.loop().in(REQUEST_TIMEOUT_US, this::end); // the response gets as long as the request
--- a/src/main/java/damsonslip/management/ManagementServer.java
+++ b/src/main/java/damsonslip/management/ManagementServer.java
@@ -6,10 +6,12 @@
 import damsonslip.net.Links;
 import damsonslip.net.Room;
 import damsonslip.net.RoomAcceptor;
+import damsonslip.operations.OperationResult;
 import damsonslip.operations.Operations;
 import damsonslip.settings.BadInput;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.function.Consumer;
 import org.eclipse.jetty.io.EndPoint;
 
 /**
@@ -31,7 +33,8 @@
 
     /** Creates a server that does not listen yet. */
     public ManagementServer(Loop loop) {
-        super(new Room<>(MAX_CONNECTIONS, OVERFLOW, connection -> true, ManagementConnection::closingOrder));
+        super(new Room<>(MAX_CONNECTIONS, OVERFLOW, connection -> !connection.awaitsResult(),
+            ManagementConnection::closingOrder));
         this.loop = loop;
     }
 
@@ -55,22 +58,28 @@
         operations = by;
     }
 
-    ByteBuffer answer(String line) {
+    /** Carries a request out; the response is told on the loop, then or later. */
+    void answer(String line, Consumer<ByteBuffer> response) {
         if (operations == null) {
-            return ManagementResponse.no("starting");
+            response.accept(ManagementResponse.no("starting"));
+            return;
         }
         try {
-            ManagementRequest request = ManagementRequest.decode(line);
-            return switch (request.verb()) {
-                case READY -> ManagementResponse.of(operations.ready());
-                case STATS -> ManagementResponse.of(operations.metrics());
-                case DISABLE -> ManagementResponse.of(operations.disable(request.workerId()));
-                case ENABLE -> ManagementResponse.of(operations.enable(request.workerId()));
-                case DRAIN -> ManagementResponse.of(operations.drain());
-                case UNDRAIN -> ManagementResponse.of(operations.undrain());
-            };
+            answer(ManagementRequest.decode(line), response);
         } catch (ManagementRequest.MalformedException e) {
-            return ManagementResponse.no(e.getMessage());
+            response.accept(ManagementResponse.no(e.getMessage()));
+        }
+    }
+
+    private void answer(ManagementRequest request, Consumer<ByteBuffer> response) {
+        Consumer<OperationResult> result = done -> response.accept(ManagementResponse.of(done));
+        switch (request.verb()) {
+            case READY -> result.accept(operations.ready());
+            case STATS -> response.accept(ManagementResponse.of(operations.metrics()));
+            case DISABLE -> operations.disable(request.workerId(), result);
+            case ENABLE -> operations.enable(request.workerId(), result);
+            case DRAIN -> result.accept(operations.drain());
+            case UNDRAIN -> result.accept(operations.undrain());
         }
     }
 
--- a/src/main/java/damsonslip/net/Links.java
+++ b/src/main/java/damsonslip/net/Links.java
@@ -77,6 +77,11 @@
 
     /** Decides on connections that come in. */
     public interface Accepting extends Opening {
+        /** Whether a connection may be accepted now; who comes meanwhile waits to be. Called on the selector's thread. */
+        default boolean hasRoom() {
+            return true;
+        }
+
         /** Takes room for one more, if there is any: it will be opened or turned back. Called on any thread. */
         boolean admit();
 
--- a/src/main/java/damsonslip/net/Listeners.java
+++ b/src/main/java/damsonslip/net/Listeners.java
@@ -23,6 +23,8 @@
 final class Listeners {
     private static final Logger LOG = LoggerFactory.getLogger(Listeners.class);
     private static final int BACKLOG = 512;
+    /** So long until a listener whose connections fill their room is looked at again: some turns of the loop. */
+    private static final long FULL_REST_US = 2_000;
 
     private final Map<SelectableChannel, ListeningSocket> sockets = new ConcurrentHashMap<>();
     private final Loop loop;
@@ -101,6 +103,10 @@
             return null;
         }
         listener.queue().reported();
+        if (!listener.taker().hasRoom()) {
+            rest(listener, FULL_REST_US);
+            return null;
+        }
         try {
             return listener.accept(loop.now());
         } catch (ListeningSocket.AcceptFailedException e) {
@@ -112,13 +118,19 @@
     /** Takes in all who wait there; tells whether there was anybody. */
     boolean acceptAll(ListeningSocket listener) throws IOException {
         boolean any = false;
-        for (SocketChannel next = listener.accept(loop.now()); next != null; next = listener.accept(loop.now())) {
+        SocketChannel next = acceptIfRoom(listener);
+        while (next != null) {
             any = true;
             admission.accepted(next, listener);
+            next = acceptIfRoom(listener);
         }
         return any;
     }
 
+    private SocketChannel acceptIfRoom(ListeningSocket listener) throws ListeningSocket.AcceptFailedException {
+        return listener.taker().hasRoom() ? listener.accept(loop.now()) : null;
+    }
+
     /** Takes in who waits without the selector's notice; called on its thread, which alone accepts. */
     void acceptUnnoticed(Selector opened) {
         for (ListeningSocket listener : sockets.values()) {
--- a/src/main/java/damsonslip/net/Room.java
+++ b/src/main/java/damsonslip/net/Room.java
@@ -12,8 +12,8 @@
 
 /**
  * The connections that there is room for. Guards usual clients against those that open hundreds and say nothing:
- * when it is full, the newest is let in and the one that is missed least has to go. All but {@link #admit} and
- * {@link #turnedBack} is called on the loop.
+ * when it is full, the newest is let in and the one that is missed least has to go. All but {@link #admit},
+ * {@link #hasRoom} and {@link #turnedBack} is called on the loop.
  */
 public final class Room<L extends Link> {
     private volatile int most;
@@ -51,6 +51,11 @@
         return held.getAndUpdate(count -> count < limit ? count + 1 : count) < limit;
     }
 
+    /** Whether one more could be held; the next {@link #admit} on the same thread finds it so. */
+    public boolean hasRoom() {
+        return held.get() < most + overflow;
+    }
+
     /** What was admitted never came to be opened. */
     public void turnedBack() {
         held.decrementAndGet();
--- a/src/main/java/damsonslip/operations/Operations.java
+++ b/src/main/java/damsonslip/operations/Operations.java
@@ -14,6 +14,8 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
@@ -25,7 +27,16 @@
 
     /** Applies a change of the worker overrides and, where there is a store, makes it outlive the process. */
     public interface OverrideStore {
-        void change(Runnable change) throws IOException;
+        /** Keeps nothing beyond the process. */
+        OverrideStore NONE = (change, kept, failed) -> {
+            change.run();
+            kept.run();
+        };
+
+        /**
+         * Applies the change and tells on the event loop, then or later, that it is kept or that it could not be.
+         */
+        void change(Runnable change, Runnable kept, Consumer<IOException> failed);
     }
 
     private final Phase phase;
@@ -46,29 +57,30 @@
         return new OperationResult(state == State.SERVING, state.name().toLowerCase(Locale.ROOT));
     }
 
-    /** Disables a worker: no further requests are sent to it until {@link #enable}. */
-    public OperationResult disable(String id) {
-        return change(id, front.driver()::disable, id + " gets nothing new");
+    /** Disables a worker: no further requests are sent to it until {@link #enable}; tells on the loop, then or later. */
+    public void disable(String id, Consumer<OperationResult> done) {
+        change(id, front.driver()::disable, id + " gets nothing new", done);
     }
 
-    /** Enables a disabled worker; it is treated as one that has just started. */
-    public OperationResult enable(String id) {
-        return change(id, front.driver()::enable, id + " is used again");
+    /** Enables a disabled worker, which is treated as one that has just started; tells on the loop, then or later. */
+    public void enable(String id, Consumer<OperationResult> done) {
+        change(id, front.driver()::enable, id + " is used again", done);
     }
 
-    private OperationResult change(String id, Predicate<String> change, String done) {
-        boolean[] isKnown = new boolean[1];
-        try {
-            overrides.change(() -> isKnown[0] = change.test(id));
-        } catch (IOException e) {
-            LOG.warn("the bans cannot be kept: {}", e.getMessage());
-            return OperationResult.failure("it cannot be kept for other processes; say it again");
-        }
-        if (!isKnown[0]) {
+    private void change(String id, Predicate<String> change, String changed, Consumer<OperationResult> done) {
+        AtomicBoolean isKnown = new AtomicBoolean();
+        overrides.change(() -> isKnown.set(change.test(id)), () -> done.accept(kept(id, isKnown.get(), changed)), error -> {
+            LOG.warn("the bans cannot be kept: {}", error.getMessage());
+            done.accept(OperationResult.failure("it cannot be kept for other processes; say it again"));
+        });
+    }
+
+    private static OperationResult kept(String id, boolean isKnown, String changed) {
+        if (!isKnown) {
             return OperationResult.failure("no such worker: " + id);
         }
-        LOG.info("operator: {}", done);
-        return OperationResult.success(done);
+        LOG.info("operator: {}", changed);
+        return OperationResult.success(changed);
     }
 
     /** Starts connection draining: clients are sent away while the process stays up. */
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -41,6 +41,7 @@
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -119,7 +120,7 @@
         if (folder != null) {
             openFolder(folder); // the bans, and who else sends, before the first query
         }
-        boolean relieved = handover != null && handover.refresh().processes() > 1;
+        boolean relieved = handover != null && handover.peers().processes() > 1;
         servers.whenTold(relieved, () -> open(listen, folder != null, open));
     }
 
@@ -216,14 +217,16 @@
     }
 
     /** Bans hold in all processes of this scheduler, where there may be several. */
-    public void change(Runnable bans) throws IOException {
+    public void change(Runnable bans, Runnable kept, Consumer<IOException> failed) {
         if (handover != null) {
-            handover.change(bans);
+            handover.change(bans, kept, failed);
             return;
         }
         bans.run();
         if (keepsBans) {
-            throw new IOException("the folder cannot be used");
+            failed.accept(new IOException("the folder cannot be used"));
+        } else {
+            kept.run();
         }
     }
 
@@ -299,17 +302,24 @@
     @Override
     public void leave() {
         loop.execute(() -> {
+            long toldUs = loop.now();
             if (listener == null) { // nobody could come yet, and nobody will
                 phase.moveTo(State.ENDED);
-                return;
+            } else if (handover == null) {
+                leaveServing(toldUs);
+            } else {
+                handover.refresh(() -> leaveServing(toldUs)); // whether a successor serves decides how to leave
             }
-            clients.answerBy(loop.now() + stopTimes.answerDeadlineUs());
-            loop.in(stopTimes.answerDeadlineUs(), driver::answerAll);
-            new Leave(loop, phase, stopTimes.acceptUs(), longestDeadlineUs(), this::succeeded, this::shut,
-                this::done).begin();
         });
     }
 
+    private void leaveServing(long toldUs) {
+        clients.answerBy(toldUs + stopTimes.answerDeadlineUs());
+        loop.at(toldUs + stopTimes.answerDeadlineUs(), driver::answerAll);
+        new Leave(loop, phase, stopTimes.acceptUs(), longestDeadlineUs(), this::succeeded, this::shut,
+            this::done).begin();
+    }
+
     private long longestDeadlineUs() {
         return config.site().deadlinesUs().stream().mapToLong(Long::longValue).max().orElse(0);
     }
@@ -329,7 +339,7 @@
     }
 
     private boolean succeeded() {
-        return handover != null && handover.refresh().hasSuccessor();
+        return handover != null && handover.peers().hasSuccessor();
     }
 
     private void shut() {
@@ -349,8 +359,7 @@
         }
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> {
-            handover.close();
-            done.countDown();
+            handover.close(done::countDown);
         });
         try {
             done.await(LAST_TASK_MS, TimeUnit.MILLISECONDS); // a mark that stays is harmless: nobody holds its lock
--- a/src/main/java/damsonslip/program/Serve.java
+++ b/src/main/java/damsonslip/program/Serve.java
@@ -37,7 +37,7 @@
             Front front;
             String console;
             String second;
-            Operations.OverrideStore keeper = Runnable::run;
+            Operations.OverrideStore keeper = Operations.OverrideStore.NONE;
             if (file == null) {
                 NodeConfig config = NodeConfig.read(environment);
                 Platform platform = new Platform(loop, phase, counters, config, environment);
