--- a/src/main/java/damsonslip/Dispatch.java
+++ b/src/main/java/damsonslip/Dispatch.java
@@ -340,6 +340,9 @@
     /** A probe has ended; {@code report} may be null. */
     record ProbeEnded(String worker, ProbeResult result, Report report) implements Event { }
 
+    /** The other side, or the network, has ended a connection to a worker on which nothing was under way. */
+    record ConnectionLost(String worker) implements Event { }
+
     /** From now on so many dispatchers count as sharing the workers, and this one has that number among them. */
     record Divided(int dispatchers, int number) implements Event { }
 
--- a/src/test/java/damsonslip/ProbedWorkersTest.java
+++ b/src/test/java/damsonslip/ProbedWorkersTest.java
@@ -12,6 +12,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import damsonslip.Dispatch.Action;
+import damsonslip.Dispatch.ConnectionLost;
 import damsonslip.Dispatch.Effect;
 import damsonslip.Dispatch.Group;
 import damsonslip.Dispatch.ListMode;
@@ -133,6 +134,39 @@
         assertFalse(script.rules.mayUse(asked, script.now));
     }
 
+    /** Which of the two came first cannot be told: the answer may be of the process before the break. */
+    @Test
+    void anAnswerBehindABrokenConnectionIsNoLease() {
+        loseTheList();
+        String asked = probed(script.job("j1"));
+        script.give(new ConnectionLost(asked));
+        assertNull(sentTo(answers(asked, ProbeResult.HEALTHY), "j1"));
+        assertFalse(script.rules.mayUse(asked, script.now));
+    }
+
+    /** A worker that starts anew breaks the connections that rest; it is cold then, which only a list tells. */
+    @Test
+    void aRestingConnectionThatBreaksKeepsItsWorkerFromBeingAsked() {
+        loseTheList();
+        script.give(new ConnectionLost("a"));
+        script.give(new ConnectionLost("b"));
+        List<Action> at = script.job("j1");
+        assertNull(probed(at));
+        assertEquals(1, only(at, Refuse.class).size());
+    }
+
+    /** Discovery was heard behind it: a list that still stands would tell of a start. */
+    @Test
+    void aConnectionThatBrokeBeforeDiscoveryWasLastHeardSaysNothing() {
+        script.list(ListMode.KEPT, worker("a"), worker("b"));
+        script.list(ListMode.COMPLETE, worker("a"), worker("b"));
+        script.give(new ConnectionLost("a"));
+        script.give(new ConnectionLost("b"));
+        script.pass(SECOND);
+        loseTheList();
+        assertNotNull(probed(script.job("j1")));
+    }
+
     @Test
     void aJobAsksOneWorkerAtATime() {
         loseTheList();
