Give no lease to a worker whose connections broke since discovery was heard

Change: a resting connection that breaks is told to the module (ConnectionLost), and an answer that crosses a break is no lease.

--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -170,6 +170,8 @@
             ifOpen(e.job(), this::end);
         } else if (event instanceof ProbeEnded e) {
             probed(e);
+        } else if (event instanceof ConnectionLost e && workers.containsKey(e.worker())) {
+            workers.get(e.worker()).lease.connectionFailed(now);
         } else if (event instanceof TimerDue e) {
             due(e.label());
         } else if (event instanceof Divided e) {
--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -6,6 +6,7 @@
 import damsonslip.Dispatch.AttemptStarted;
 import damsonslip.Dispatch.Cancel;
 import damsonslip.Dispatch.ColdLoad;
+import damsonslip.Dispatch.ConnectionLost;
 import damsonslip.Dispatch.DiscoveryAddress;
 import damsonslip.Dispatch.Divided;
 import damsonslip.Dispatch.Effect;
@@ -372,6 +373,11 @@
         return rules.mayUse(worker, loop.now());
     }
 
+    /** A connection to the worker, on which nothing was under way, has ended, and not from here. */
+    public void connectionLost(String worker) {
+        tell(new ConnectionLost(worker));
+    }
+
     public void probed(String worker, ProbeResult result, Report report) {
         trace.probed(worker, result);
         tell(new ProbeEnded(worker, result, report));
--- a/src/main/java/damsonslip/membership/WorkerLease.java
+++ b/src/main/java/damsonslip/membership/WorkerLease.java
@@ -40,7 +40,11 @@
     public void probeEnded(ProbeResult result, long graceUs, long nowUs) {
         outstanding = Math.max(0, outstanding - 1);
         switch (result) {
-            case HEALTHY -> validUntil = Math.max(validUntil, probedAt + graceUs);
+            case HEALTHY -> {
+                if (failedAt < probedAt) { // else the answer may be of the process before the break
+                    validUntil = Math.max(validUntil, probedAt + graceUs);
+                }
+            }
             case UNHEALTHY -> {
                 validUntil = NEVER;
                 nextProbeAt = nowUs + REFUSED_AGAIN_US;
@@ -50,7 +54,7 @@
         }
     }
 
-    /** A connection to the worker failed, or could not be had. */
+    /** A connection to the worker broke, or could not be had. */
     public void connectionFailed(long nowUs) {
         validUntil = NEVER;
         failedAt = nowUs;
--- a/src/main/java/damsonslip/platform/servers/ServerLink.java
+++ b/src/main/java/damsonslip/platform/servers/ServerLink.java
@@ -295,6 +295,9 @@
         if (busy && status == 0 && idledUs >= 0) {
             side.keptAge().seen(idledUs, true);
         }
+        if (!busy) {
+            side.driver().connectionLost(worker);
+        }
         probed(ProbeResult.UNREACHABLE, null);
         finish(written ? Outcome.RESET : Outcome.NOT_CONNECTED, null);
     }
