--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -115,7 +115,7 @@
     public void begin(WorkerSide side, List<Worker> kept) {
         workers = side;
         trace.listed(ListMode.KEPT, kept);
-        tell(new ListUpdate(ListMode.KEPT, bans.apply(ListMode.KEPT, kept), loop.startedUs()));
+        tell(new ListUpdate(ListMode.KEPT, bans.apply(ListMode.KEPT, kept, loop.now()), loop.startedUs()));
         if (trace.on()) {
             stands();
         }
@@ -348,7 +348,7 @@
     public void listed(ListMode mode, List<Worker> list) {
         counters.add(Count.LIST_UPDATES);
         trace.listed(mode, list);
-        tell(new ListUpdate(mode, bans.apply(mode, list)));
+        tell(new ListUpdate(mode, bans.apply(mode, list, loop.now())));
     }
 
     /** News of discovery's address after a reload that was asked for at that time. */
--- a/src/main/java/damsonslip/overrides/WorkerOverrides.java
+++ b/src/main/java/damsonslip/overrides/WorkerOverrides.java
@@ -49,7 +49,7 @@
      *
      * @param mode whether the list is complete, so that workers it leaves out are gone
      */
-    public List<Worker> apply(ListMode mode, List<Worker> list) {
+    public List<Worker> apply(ListMode mode, List<Worker> list, long nowUs) {
         if (mode == ListMode.COMPLETE || mode == ListMode.KEPT) {
             lastListed.replaceAll((id, worker) -> with(worker, Status.GONE, worker.startedUs()));
         }
--- a/src/test/java/damsonslip/overrides/WorkerOverridesTest.java
+++ b/src/test/java/damsonslip/overrides/WorkerOverridesTest.java
@@ -16,7 +16,10 @@
 
 /** Disabled and enabled workers, laid over the lists of discovery. */
 class WorkerOverridesTest {
+    private static final long MINUTE = 60_000_000;
+
     private final WorkerOverrides overrides = new WorkerOverrides();
+    private long now;
 
     private static Worker worker(String id, Status status, long startedUs) {
         return new Worker(id, 0, 0, 0, status, startedUs);
@@ -27,7 +30,7 @@
     }
 
     private List<Worker> listed(ListMode mode, Worker... workers) {
-        return overrides.apply(mode, List.of(workers));
+        return overrides.apply(mode, List.of(workers), now);
     }
 
     @Test
@@ -67,6 +70,23 @@
         assertEquals(List.of(worker("a", Status.GONE, 5)), overrides.disable("a"));
     }
 
+    /** A fleet whose workers are replaced every day would fill the memory with those of long ago. */
+    @Test
+    void aWorkerThatIsLongGoneIsForgottenUnlessItIsDisabled() {
+        listed(ListMode.COMPLETE, running("a"), running("b"), running("c"));
+        overrides.disable("b");
+        listed(ListMode.COMPLETE, running("c"));
+        now += 9 * MINUTE;
+        listed(ListMode.CHANGES);
+        assertTrue(overrides.isKnown("a"), "it may come back");
+        now += 2 * MINUTE;
+        listed(ListMode.CHANGES);
+        assertFalse(overrides.isKnown("a"));
+        assertTrue(overrides.isKnown("b"), "its operator has yet to enable it");
+        assertTrue(overrides.isKnown("c"));
+        assertEquals(List.of(worker("b", Status.DRAINING, 5)), listed(ListMode.CHANGES, running("b")));
+    }
+
     @Test
     void anotherProcessTakesThemOverWithTheReturns() throws WorkerOverrides.MalformedException {
         listed(ListMode.KEPT, running("a"), running("b"), running("c"));
@@ -76,7 +96,7 @@
         WorkerOverrides next = new WorkerOverrides();
         assertEquals(List.of(), next.restore(overrides.serialize(200)), "before any list there is nothing to tell");
         assertEquals(List.of(worker("a", Status.DRAINING, 5), worker("b", Status.RUNNING, 100), running("c")),
-            next.apply(ListMode.KEPT, List.of(running("a"), running("b"), running("c"))));
+            next.apply(ListMode.KEPT, List.of(running("a"), running("b"), running("c")), now));
         overrides.enable("a", 150);
         overrides.disable("c");
         assertEquals(List.of(worker("a", Status.RUNNING, 150), worker("c", Status.DRAINING, 5)),
