Forget workers that have been gone for ten minutes

Change: the module forgets a worker that has not run for ten minutes and has no attempt out, the pools how long jobs took there, the address list and the overrides its entry (a disabled one stays). One that comes back after that is like any other. Result: ForgottenWorkersTest 3 of 3, WorkerOverridesTest, HostGroupTest, and tests of the module pass.

--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -55,6 +55,8 @@
         int cell;
         int kind;
         boolean running;
+        /** When it was last seen to run. */
+        long ranAt;
         /** When it started, as the list says on the machines' wall clock, and on the clock of the events. */
         long stamp = StartTimes.LONG_AGO;
         long started = StartTimes.LONG_AGO;
@@ -322,6 +324,11 @@
             return of.level;
         }
 
+        /** Forgets how long jobs took at a worker that is gone. */
+        void forget(Worker w) {
+            byWorker.remove(w);
+        }
+
         /** Forgets the subjects that are hardly asked for any more. */
         void forgetColdSubjects(long now) {
             heat.values().removeIf(h -> h.level * Math.exp((h.at - now) / HEAT_US) < 0.1);
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -23,6 +23,8 @@
 
     /** Pools and thresholds are worked out this often and up to twice that, so that none re-deal in step. */
     private static final long DEAL_US = 700_000;
+    /** What is known of a worker that has stopped is kept for so long, if it may come back. */
+    private static final long RETENTION_US = 600_000_000;
     /** Held jobs are looked at again this often, for room that no event has told of. */
     private static final long SWEEP_US = 20_000;
     /** Weight of the newest interval in the arrival rate: about the last ten seconds count. */
@@ -205,6 +207,7 @@
         switch (label) {
             case DEAL -> {
                 measure();
+                forgetGone();
                 deal();
                 log();
                 timer(DEAL_US + random.nextLong(DEAL_US), DEAL);
@@ -257,9 +260,22 @@
         }
     }
 
+    /** Forgets workers that have not run for long. */
+    private void forgetGone() {
+        for (Iterator<Worker> all = workers.values().iterator(); all.hasNext();) {
+            Worker w = all.next();
+            w.ranAt = w.running ? now : w.ranAt;
+            if (!w.running && w.out.isEmpty() && now - w.ranAt > RETENTION_US) {
+                all.remove();
+                Arrays.stream(pools).forEach(pool -> pool.forget(w));
+            }
+        }
+    }
+
     private boolean listed(Dispatch.Worker entry, boolean seesStarts) {
         Worker w = workers.computeIfAbsent(entry.id(), Worker::new);
         boolean before = w.running;
+        w.ranAt = now;
         w.running = entry.status() == Status.RUNNING;
         w.zone = entry.zone();
         w.cell = entry.cell();
--- a/src/main/java/damsonslip/overrides/WorkerOverrides.java
+++ b/src/main/java/damsonslip/overrides/WorkerOverrides.java
@@ -26,7 +26,7 @@
     private static final String FOOTER = "end";
     private static final String DISABLED = "out";
     private static final String ENABLED = "back";
-    /** An enabled worker counts as warm everywhere after this time, and its entry is dropped. */
+    /** An enabled worker counts as warm everywhere after this time, and one that is gone will hardly come back. */
     private static final long RETENTION_US = 600_000_000;
 
     /** A text that is not a complete serialized form; the message is one line for the log. */
@@ -40,12 +40,15 @@
 
     /** The last entry of each worker that a list has named; one that a later list left out has status GONE. */
     private final Map<String, Worker> lastListed = new TreeMap<>();
+    /** Since when those have been gone that are. */
+    private final Map<String, Long> goneSinceUs = new HashMap<>();
     private final Set<String> disabled = new TreeSet<>();
     /** When each worker was enabled again. */
     private final Map<String, Long> enabledAtUs = new TreeMap<>();
 
     /**
-     * Records a list from discovery and returns it with the overrides applied.
+     * Records a list from discovery and returns it with the overrides applied. Workers that are long gone are forgotten,
+     * unless they are disabled.
      *
      * @param mode whether the list is complete, so that workers it leaves out are gone
      */
@@ -54,9 +57,26 @@
             lastListed.replaceAll((id, worker) -> with(worker, Status.GONE, worker.startedUs()));
         }
         list.forEach(worker -> lastListed.put(worker.id(), worker));
+        forget(nowUs);
         return list.stream().map(this::overridden).toList();
     }
 
+    private void forget(long nowUs) {
+        lastListed.forEach((id, worker) -> {
+            if (worker.status() == Status.GONE) {
+                goneSinceUs.putIfAbsent(id, nowUs);
+            } else {
+                goneSinceUs.remove(id);
+            }
+        });
+        goneSinceUs.forEach((id, sinceUs) -> {
+            if (sinceUs < nowUs - RETENTION_US && !disabled.contains(id)) {
+                lastListed.remove(id);
+            }
+        });
+        goneSinceUs.keySet().retainAll(lastListed.keySet());
+    }
+
     private Worker overridden(Worker worker) {
         boolean drains = disabled.contains(worker.id()) && worker.status() == Status.RUNNING;
         Status status = drains ? Status.DRAINING : worker.status();
--- a/src/main/java/damsonslip/platform/servers/HostGroup.java
+++ b/src/main/java/damsonslip/platform/servers/HostGroup.java
@@ -30,6 +30,9 @@
     /** One worker of it. */
     public record Entry(Worker worker, InetSocketAddress address) { }
 
+    /** Addresses of workers that have stopped are kept so long: what is under way there has ended. */
+    private static final long RETENTION_US = 600_000_000;
+
     /** A list that cannot be read; the message is one plain line. */
     public static final class Malformed extends Exception {
         private static final long serialVersionUID = 1L;
@@ -125,6 +128,8 @@
             hosts.replaceAll((id, host) -> named.contains(id) || host.stoppedAtUs() != RUNNING ? host
                 : new Host(host.address(), nowUs));
         }
+        // nothing is sent to a worker that is unknown, so that what drains for long may be forgotten as well
+        hosts.values().removeIf(host -> host.stoppedAtUs() < nowUs - RETENTION_US);
         generation = update.generation();
         return workers;
     }
