Hold back the last byte of a large request until what its worker is told is still true

Change: of requests over 8 KB the last byte is written apart. By the pace of the rest it is reckoned when it would come; if that is over 0.1 s after the time was told, the connection ends before it (the job has provably never run), and the next try tells the worker so much less. Open: of a request that the system takes whole at once (some 36 KB) nothing is known of when it comes.

--- a/src/main/java/damsonslip/core/Exchange.java
+++ b/src/main/java/damsonslip/core/Exchange.java
@@ -16,6 +16,8 @@
     int outstanding;
     /** When repeats are last known for such, counted from the first execution that may have run. */
     long repeatsUntilUs = Long.MAX_VALUE;
+    /** How long the slowest worker so far would have taken to take the whole request. */
+    long slowestUploadUs;
     private boolean closed;
 
     Exchange(Query query, AnswerListener listener, BiConsumer<Exchange, Answer> counting) {
--- a/src/main/java/damsonslip/core/Execution.java
+++ b/src/main/java/damsonslip/core/Execution.java
@@ -60,6 +60,19 @@
         return exchange.isAwaited();
     }
 
+    /**
+     * How long the request is reckoned to take until its last byte has come, by earlier executions that were given up while
+     * it was written; a worker is told of so much less time.
+     */
+    public long expectedUploadUs() {
+        return exchange.slowestUploadUs;
+    }
+
+    /** A worker would have taken so long to take the whole request. */
+    public void uploadTakes(long us) {
+        exchange.slowestUploadUs = Math.max(exchange.slowestUploadUs, us);
+    }
+
     /** When the scheduler stops waiting for it. */
     public long endsByUs() {
         return endsByUs;
--- a/src/main/java/damsonslip/platform/servers/ServerLink.java
+++ b/src/main/java/damsonslip/platform/servers/ServerLink.java
@@ -20,6 +20,7 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.BufferUtil;
 
 /** A connection to a worker, which carries one execution or probe at a time. */
 final class ServerLink extends Link implements AnswerReader.Taker {
@@ -31,6 +32,16 @@
      */
     private static final MinimumDataRate.Limits TAKING = new MinimumDataRate.Limits(500_000, 500_000, 32 * 1024);
 
+    /**
+     * The time that a worker is told counts by the request's last byte, of which it may be 0.15 s too much (STANDING); a
+     * third of that is kept for hold-ups. A request that takes longer is given up before its last byte.
+     */
+    private static final long LATE_LAST_BYTE_US = 100_000;
+    /** Smaller requests fit into the system's buffers several times over, and are written in one go. */
+    private static final int LARGE_REQUEST = 8 * 1024;
+    /** What is reckoned from the pace of one try is taken with a quarter on top. */
+    private static final double UPLOAD_MARGIN = 1.25;
+
     /**
      * A second answer may follow the first some milliseconds late. A link that has rested for this long since its last
      * answer has none to come, so that an answer without an id belongs to the request at hand.
@@ -53,6 +64,8 @@
     private int status;
     private Report report;
     private boolean unprocessed;
+    /** Bytes of a large request that the system did not take at once. */
+    private int waitedFor;
     /** How long it had been idle when the request at hand was begun; below 0 if it was new. */
     private long idledUs = -1;
     private boolean used;
@@ -98,7 +111,8 @@
 
     /** How long a worker may take itself to be awaited: its client may give up before the scheduler does. */
     static long toldUs(Execution execution, long nowUs) {
-        return Math.max(0, Math.min(execution.endsByUs(), execution.query().earliestDeadlineUs()) - nowUs);
+        long endsByUs = Math.min(execution.endsByUs(), execution.query().earliestDeadlineUs());
+        return Math.max(0, endsByUs - nowUs - execution.expectedUploadUs());
     }
 
     /** Asks for the worker's load, and waits for so long at the most. */
@@ -135,18 +149,50 @@
         status = 0;
         report = null;
         unprocessed = false;
-        write(() -> {
-            written = true;
-            taking.end();
-            if (!probing) {
-                side.written(execution);
-            }
-        }, request);
+        int bytes = (int) BufferUtil.remaining(request);
+        if (bytes <= LARGE_REQUEST) {
+            write(this::whole, request);
+        } else {
+            writeLarge(request, bytes);
+        }
         if (!isClosed()) {
             taking.begin();
         }
     }
 
+    private void whole() {
+        written = true;
+        taking.end();
+        if (!probing) {
+            side.written(execution);
+        }
+    }
+
+    /** Writes all but the last byte first: what was told may be too old by the time at which that could leave. */
+    private void writeLarge(ByteBuffer[] request, int bytes) {
+        ByteBuffer end = request[request.length - 1];
+        ByteBuffer last = end.duplicate().position(end.limit() - 1);
+        end.limit(end.limit() - 1);
+        long begunUs = side.loop().now();
+        write(() -> writeLast(last, bytes, side.loop().now() - begunUs), request);
+        waitedFor = (int) backlog();
+    }
+
+    private void writeLast(ByteBuffer last, int bytes, long tookUs) {
+        // what the system took at once comes to the worker at the pace of the rest
+        long takesUs = waitedFor == 0 ? tookUs : tookUs * bytes / waitedFor;
+        if (execution != null && takesUs > execution.expectedUploadUs() + LATE_LAST_BYTE_US) {
+            execution.uploadTakes((long) (takesUs * UPLOAD_MARGIN));
+            side.slowUpload(worker, takesUs);
+            Execution late = execution;
+            execution = null;
+            end();
+            side.ended(late, Execution.End.of(Outcome.NEVER_SENT));
+            return;
+        }
+        write(this::whole, last);
+    }
+
     /** How it takes the request that is being written to it; null if none is. */
     SlowPeer shown() {
         return taking.waits() ? taking.shown("takes a request", worker) : null;
--- a/src/main/java/damsonslip/platform/servers/ServerSide.java
+++ b/src/main/java/damsonslip/platform/servers/ServerSide.java
@@ -445,6 +445,11 @@
         LOG.warn("worker {} takes a request too slowly; it is given up before its last byte", worker);
     }
 
+    void slowUpload(String worker, long takesUs) {
+        counters.add(Count.UPLOADS_GIVEN_UP);
+        LOG.info("event=upload_slow worker={} takes_us={}", worker, takesUs);
+    }
+
     void malformed(String worker, String why) {
         LOG.warn("worker {}: {}", worker, why);
     }
