--- a/src/main/java/damsonslip/lab/soak/SoakPlan.java
+++ b/src/main/java/damsonslip/lab/soak/SoakPlan.java
@@ -71,7 +71,7 @@
             + ",\"shapes\":[\"k\"],\"registry_mode\":\"" + (pushed ? "pushed" : "on_request") + "\",\"lanes\":["
             + lane("repeatable", "repeatable", "") + "," + lane("keyed", "by_key", ",\"dedup_scope\":\"zone\",\"window_s\":"
             + KEYED_WINDOW_US / 1e6) + "," + lane("once", "once", "")
-            + "],\"limits\":{\"send_cap\":4,\"may_cancel\":true,\"may_probe\":" + probes
+            + "],\"limits\":{\"send_cap\":4,\"may_cancel\":true,\"may_probe\":" + mayProbe()
             + ",\"conn_idle_s\":4,\"dial_timeout_s\":0.25},\"prices\":{\"probe\":0.001},\"reporting\":{\"how\":\""
             + (probes ? "pull" : "piggyback") + "\",\"fields\":[\"x0\"]},\"guarantees\":{\"grace_to_answer_s\":0.05,"
             + "\"drain_grace_s\":" + graceMs / 1e3 + ",\"ask_every_s\":6,\"cold_share\":" + COLD_SHARE + ",\"cold_s\":"
@@ -79,6 +79,11 @@
             + "},\"specifics\":{\"tells_start\":true}}";
     }
 
+    /** Workers may be probed on some sites where their reports come otherwise. */
+    private boolean mayProbe() {
+        return probes || seed % 2 == 0;
+    }
+
     private static String lane(String name, String semantics, String more) {
         return "{\"name\":\"" + name + "\",\"aim_s\":0.4,\"hard_limit_s\":2.5,\"semantics\":\"" + semantics
             + "\",\"value\":1" + more + "}";
--- a/src/main/java/damsonslip/lab/soak/SoakWorker.java
+++ b/src/main/java/damsonslip/lab/soak/SoakWorker.java
@@ -49,6 +49,7 @@
     private final Semaphore slots = new Semaphore(SLOTS, true);
     private final Set<Wire> open = ConcurrentHashMap.newKeySet();
     private volatile Mood mood = Mood.WELL;
+    private volatile boolean draining;
     private volatile ServerSocket server;
     /** What schedulers reach it through; null if they reach it directly. */
     private final FaultProxy proxy;
@@ -87,8 +88,9 @@
         mood = next;
     }
 
-    /** Has the list say this of it. */
+    /** Has the list say this of it; as it drains, it denies probes from the moment before. */
     void list(Lifecycle lifecycle) {
+        draining = lifecycle == Lifecycle.DRAINING;
         int port = proxy == null ? server.getLocalPort() : proxy.port();
         membership.put(new Entry(id, port, zone, lifecycle, startedMs));
     }
@@ -139,8 +141,8 @@
                     return;
                 }
                 if (message.first().startsWith("GET")) {
-                    wire.send("HTTP/1.1 200 OK\r\nX-Backend-Load: TEXT x0=" + slots.availablePermits()
-                        + "\r\nContent-Length: 0\r\n\r\n");
+                    wire.send("HTTP/1.1 " + (draining ? "503 No" : "200 OK") + "\r\nX-Backend-Load: TEXT x0="
+                        + slots.availablePermits() + "\r\nContent-Length: 0\r\n\r\n");
                 } else if (!job(wire, message)) {
                     return;
                 }
