Red tests: a worker that discovery has removed answers probes well, and is sent to

A lost zone's 16 workers leave the list at 21 to 24 s, come back with their zone's schedulers at some 30 s, and are listed again at 33 s. A scheduler that starts there has the list of before, its workers answer 200, and it sends. A probe's answer says that a worker does not drain; it does not say that discovery has not removed it.

--- a/src/test/java/damsonslip/ProbedWorkersTest.java
+++ b/src/test/java/damsonslip/ProbedWorkersTest.java
@@ -196,13 +196,30 @@
         assertTrue(only(script.all, Probe.class).isEmpty());
     }
 
-    /** A process that has just started may have a list of long ago; its workers are asked until discovery has told. */
+    /**
+     * A process that has just started may have a list of long ago: a zone that was lost comes back with its schedulers and
+     * its workers, which are well, and which discovery has removed meanwhile.
+     */
     @Test
-    void aStartAsksBeforeItsFirstCallHasEnded() {
+    void aStartAsksNobodyUntilDiscoveryHasTold() {
         script.list(ListMode.KEPT, worker("a"), worker("b"));
-        String asked = probed(script.job("j1"));
-        assertNotNull(asked);
-        assertEquals(asked, sentTo(answers(asked, ProbeResult.HEALTHY), "j1"));
+        List<Action> all = new ArrayList<>(script.job("j1"));
+        all.addAll(script.pass(SECOND));
+        script.give(new ListUpdate(ListMode.FAILED, List.of(), script.now));
+        script.pass(NO_LIST_US);
+        all.addAll(script.job("j2"));
+        assertTrue(only(all, Probe.class).isEmpty());
+        assertNull(sentTo(all, "j2"));
+    }
+
+    /** Who was cut off from discovery may be cut off together with workers that it has removed meanwhile. */
+    @Test
+    void whoCouldNotReachDiscoveryAsksNobody() {
+        loseTheList();
+        script.give(new ListUpdate(ListMode.UNREACHABLE, List.of(), script.now));
+        script.pass(NO_LIST_US);
+        script.give(new ListUpdate(ListMode.FAILED, List.of(), script.now));
+        assertTrue(only(script.job("j1"), Probe.class).isEmpty());
     }
 
     /** Where probes tell nothing of drains, or a worker is told as draining, none counts. */
