Ask workers only over connections that have stood since discovery was heard

Change: a lease needs an answer over a connection that came up before discovery was last heard and stands, so that the worker was neither started anew nor cut off since; never where this process has not heard discovery, could not reach it since, may have to do with a moved one, or 20 s after it was heard. Probes tell which connection they go over (Probe.connectedByUs, ProbeResult.HEALTHY_THROUGHOUT).

--- a/src/main/java/damsonslip/Dispatch.java
+++ b/src/main/java/damsonslip/Dispatch.java
@@ -364,8 +364,11 @@
     /** Final answer: failed, with no promise. */
     record Fail(String job) implements Action { }
 
-    /** Ask a worker for its load. */
-    record Probe(String worker) implements Action { }
+    /**
+     * Ask a worker for its load, and whether it takes work; over a connection that came up by that time, or over any if
+     * that is {@link Long#MAX_VALUE}.
+     */
+    record Probe(String worker, long connectedByUs) implements Action { }
 
     /** Wake this dispatcher with {@link TimerDue} at this time. */
     record SetTimer(long atUs, String label) implements Action { }
--- a/src/main/java/damsonslip/Probes.java
+++ b/src/main/java/damsonslip/Probes.java
@@ -57,15 +57,19 @@
             Worker w = round.get(next++ % round.size());
             if (w.running && bears.test(w)) {
                 allowance--;
-                send(w, nowUs, to);
+                send(w, Long.MAX_VALUE, nowUs, to);
             }
         }
     }
 
-    /** Probes a worker for a lease on behalf of this job, which has not asked another one meanwhile. */
-    void probeFor(Job job, Worker w, long nowUs, List<Action> to) {
+    /**
+     * Probes a worker for a lease on behalf of this job, which has not asked another one meanwhile.
+     *
+     * @param heardUs when discovery was last heard
+     */
+    void probeFor(Job job, Worker w, long heardUs, long nowUs, List<Action> to) {
         job.probed = w;
-        send(w, nowUs, to);
+        send(w, heardUs, nowUs, to);
     }
 
     /** Whether the job has asked for a lease that may come yet. */
@@ -73,9 +77,9 @@
         return job.probed != null && job.probed.lease.isAwaited();
     }
 
-    private void send(Worker w, long nowUs, List<Action> to) {
+    private void send(Worker w, long connectedByUs, long nowUs, List<Action> to) {
         w.lease.probeSent(nowUs);
-        to.add(new Probe(w.id));
+        to.add(new Probe(w.id, connectedByUs));
     }
 
     /** A probe of the worker has ended. */
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -4,7 +4,6 @@
 import damsonslip.Known.*;
 import damsonslip.Known.Worker;
 import damsonslip.membership.DiscoveryWatch;
-import damsonslip.membership.ProbeResult;
 import damsonslip.membership.StartTimes;
 import java.util.*;
 import java.util.function.Consumer;
@@ -857,17 +856,17 @@
 
     /** Whether a worker can be asked itself whether it takes work, and its answer holds for a while. */
     private boolean leases() {
-        return settings.leasesByProbe() && discovery.graceUs() > 0;
+        return settings.leasesByProbe() && discovery.graceUs() > 0 && discovery.mayAskWorkers(now);
     }
 
     /** Whether a job may wait: a list holds or may come any moment, or a worker can be asked itself. */
     private boolean mayWait() {
         return discovery.mayWait(now) || leases() && workers.values().stream().anyMatch(
-            w -> w.running && w.lease.isWorthAwaiting(discovery.heardUs(now), now));
+            w -> w.running && w.lease.isWorthAwaiting(discovery.heardUs(), now));
     }
 
     private boolean isWorthProbing(Worker w) {
-        return w.lease.isWorthProbing(discovery.heardUs(now), now);
+        return w.lease.isWorthProbing(discovery.heardUs(), now);
     }
 
     /** While no list holds, asks the worker that the job would go to whether it takes work. */
@@ -879,7 +878,7 @@
         boolean bound = job.risk != null && grouped(pool);
         Worker w = bound ? chooseInGroup(pool, job, asked) : choose(pool, job, false, asked);
         if (w != null && bearsProbe(w)) {
-            probes.probeFor(job, w, now, actions);
+            probes.probeFor(job, w, discovery.heardUs(), now, actions);
         }
     }
 
@@ -889,7 +888,7 @@
             return;
         }
         probes.ended(w, e, discovery.graceUs(), now);
-        if (e.result() == ProbeResult.HEALTHY) {
+        if (e.result().isHealthy()) {
             reported(w, e.report(), true);
         }
         released(w.pool);
--- a/src/main/java/damsonslip/core/Driver.java
+++ b/src/main/java/damsonslip/core/Driver.java
@@ -431,7 +431,7 @@
             finish(fail.job(), Answer.failed(exchange != null && late(exchange)));
         } else if (action instanceof Probe probe) {
             counters.add(Count.PROBES_SENT);
-            workers.probe(probe.worker());
+            workers.probe(probe.worker(), probe.connectedByUs());
         } else if (action instanceof SetTimer timer) {
             loop.at(timer.atUs(), () -> tell(new TimerDue(timer.label())));
         } else if (action instanceof WatchList) {
--- a/src/main/java/damsonslip/core/WorkerSide.java
+++ b/src/main/java/damsonslip/core/WorkerSide.java
@@ -19,8 +19,12 @@
         return false;
     }
 
-    /** Asks a worker how it is; ends in {@link Driver#probed}. */
-    void probe(String worker);
+    /**
+     * Asks a worker how it is; ends in {@link Driver#probed}.
+     *
+     * @param connectedByUs over a connection that came up by then, or over any if this is {@link Long#MAX_VALUE}
+     */
+    void probe(String worker, long connectedByUs);
 
     /** Asks for the list of workers and its changes; ends in {@link Driver#listed}. */
     void watch();
--- a/src/main/java/damsonslip/faktory/Consumers.java
+++ b/src/main/java/damsonslip/faktory/Consumers.java
@@ -431,7 +431,7 @@
 
     /** Faktory has no probes; a FETCH carries the same information. */
     @Override
-    public void probe(String worker) {
+    public void probe(String worker, long connectedByUs) {
         loop.execute(() -> driver.probed(worker, ProbeResult.UNREACHABLE, null));
     }
 
--- a/src/main/java/damsonslip/membership/DiscoveryWatch.java
+++ b/src/main/java/damsonslip/membership/DiscoveryWatch.java
@@ -87,6 +87,13 @@
     /** Slots lie in the order of the multiples of this: those of any run of numbers are spread over the cycle. */
     private static final double GOLDEN_RATIO = (Math.sqrt(5) - 1) / 2;
 
+    /**
+     * Workers may be asked themselves for so long after discovery was last heard: an outage of 8 s (FLEET), and the time in
+     * which a fleet gets through to it. The longer it lasts, the more is changed that no worker can tell.
+     */
+    private static final long ASKED_US = 20_000_000;
+    private static final long NEVER = Long.MIN_VALUE;
+
     private final long askEveryUs;
     private final long graceUs;
     private final long toldUs;
@@ -99,7 +106,9 @@
     private long usableFrom = Long.MIN_VALUE;
     private long calledAt;
     /** When discovery was last heard before the open watch was lost. */
-    private long heardAt = Long.MIN_VALUE;
+    private long heardAt = NEVER;
+    /** A call found no way to discovery since it was last heard. */
+    private boolean cutOff;
     private long validUntil = Long.MAX_VALUE;
     /** Discovery has moved and was not heard at its new address: until then the list of the old one holds at the most. */
     private long movedUntil = Long.MAX_VALUE;
@@ -179,6 +188,7 @@
     /** Discovery has sent a list or changes: the watch is open, and what it writes counts as told then. */
     public void received() {
         state = State.OPEN;
+        cutOff = false;
         usableFrom = Long.MIN_VALUE;
         failures = 0;
         failingSince = Long.MAX_VALUE;
@@ -206,6 +216,7 @@
             return loss == Loss.SILENT ? nowUs + (long) (AT_ONCE_US * random)
                 : slot(nowUs + backOff(random));
         }
+        cutOff |= loss == Loss.UNREACHABLE;
         long earliest = nowUs + backOff(random);
         failures++;
         if (loss == Loss.UNREACHABLE || isOutage()) { // nothing before the call counts yet
@@ -240,9 +251,19 @@
         return nowUs >= usableFrom && isValid(nowUs);
     }
 
-    /** When discovery was last heard; it tells of all that the last list lacks until then. */
-    public long heardUs(long nowUs) {
-        return state == State.OPEN ? nowUs : heardAt;
+    /** When discovery was last heard before its watch was lost: all that it had until then is on the last list. */
+    public long heardUs() {
+        return heardAt;
+    }
+
+    /**
+     * Whether workers that are on the last list may be asked themselves whether they drain, as discovery fails its calls.
+     * Not where it was never heard, cannot be reached, or may have moved: workers that it has removed may be well.
+     */
+    public boolean mayAskWorkers(long nowUs) {
+        boolean lost = state != State.OPEN && heardAt != NEVER && !cutOff;
+        boolean moved = movedUntil != Long.MAX_VALUE || unreadUntil != Long.MAX_VALUE;
+        return lost && !moved && nowUs < heardAt + ASKED_US;
     }
 
     /** So long after the news of a drain its worker may still be sent to, less what bytes need to leave. */
--- a/src/main/java/damsonslip/membership/WorkerLease.java
+++ b/src/main/java/damsonslip/membership/WorkerLease.java
@@ -1,13 +1,13 @@
 package damsonslip.membership;
 
 /**
- * What a worker's own answers to probes allow while no list of discovery holds.
+ * What a worker's own answers to probes allow while discovery, once heard, fails its calls and no list of it holds.
  *
  * <p>A worker that drains answers a probe with 200 no more once discovery lists it as draining (measured, see
  * docs/incidents/2026-12-02-outages-and-service.md). So whoever gets that answer cannot have been told of a drain before
  * the probe was sent, and the grace of a drain cannot end before the probe's time and the grace. Until then the worker may
- * be sent to, whatever became of discovery. A worker whose connections failed since discovery was last heard may have been
- * started anew and be cold: only a list can tell.
+ * be sent to. A worker whose connections failed since discovery was last heard may have been removed, or started anew and
+ * be cold: only a list can tell. So it has to answer over a connection that has stood since.
  *
  * <p>All times are microseconds of the clock that the caller passes in. Not safe for use by several threads.
  */
@@ -40,7 +40,8 @@
     public void probeEnded(ProbeResult result, long graceUs, long nowUs) {
         outstanding = Math.max(0, outstanding - 1);
         switch (result) {
-            case HEALTHY -> {
+            case HEALTHY -> { }
+            case HEALTHY_THROUGHOUT -> {
                 if (failedAt < probedAt) { // else the answer may be of the process before the break
                     validUntil = Math.max(validUntil, probedAt + graceUs);
                 }
@@ -49,7 +50,7 @@
                 validUntil = NEVER;
                 nextProbeAt = nowUs + REFUSED_AGAIN_US;
             }
-            case UNREACHABLE -> connectionFailed(nowUs);
+            case UNREACHABLE, NO_LASTING_CONNECTION -> connectionFailed(nowUs);
             case NOT_SENT -> nextProbeAt = nowUs + UNSENT_AGAIN_US;
         }
     }
--- a/src/main/java/damsonslip/platform/servers/ServerLink.java
+++ b/src/main/java/damsonslip/platform/servers/ServerLink.java
@@ -57,6 +57,7 @@
     private final Lines lines = new Lines(MOST_LINE);
     private Execution execution;
     private boolean probing;
+    private ProbeResult healthyTells = ProbeResult.HEALTHY;
     /** A request was begun, and its answer is not whole. */
     private boolean busy;
     /** The last byte of the request is written: from here on the job may run. */
@@ -75,6 +76,7 @@
     /** Runs from an answer's last line to the end of the answer. */
     private Loop.Timer ending;
     long idleSinceUs;
+    private long openedUs;
 
     ServerLink(EndPoint endPoint, ServerSide side, String worker, Consumer<ServerLink> up) {
         super(endPoint, side.loop());
@@ -90,6 +92,7 @@
 
     @Override
     protected void opened() {
+        openedUs = side.loop().now();
         side.opened(this);
         up.accept(this);
     }
@@ -115,9 +118,19 @@
         return Math.max(0, endsByUs - nowUs - execution.expectedUploadUs());
     }
 
-    /** Asks for the worker's load, and waits for so long at the most. */
-    void probe(long timeUs) {
+    /** Whether the connection stands since then at least. */
+    boolean standsSince(long us) {
+        return !isClosed() && openedUs <= us;
+    }
+
+    /**
+     * Asks for the worker's load, and waits for so long at the most.
+     *
+     * @param healthy what an answer of 200 tells
+     */
+    void probe(long timeUs, ProbeResult healthy) {
         probing = true;
+        healthyTells = healthy;
         probeTime = side.loop().in(timeUs, this::probeOverdue);
         begin(Encoder.request("GET", "/load", HttpFields.build().add("Host", "app.svc"), NOTHING));
     }
@@ -303,7 +316,7 @@
             return;
         }
         if (probing) {
-            probed(status == 200 ? ProbeResult.HEALTHY : ProbeResult.UNHEALTHY, report);
+            probed(status == 200 ? healthyTells : ProbeResult.UNHEALTHY, report);
         } else if (execution != null) {
             boolean turnedAway = unprocessed && (status == 503 || status == 504);
             boolean unproven = turnedAway && !settled() && side.once(execution);
--- a/src/main/java/damsonslip/platform/servers/ServerSide.java
+++ b/src/main/java/damsonslip/platform/servers/ServerSide.java
@@ -292,12 +292,16 @@
     }
 
     @Override
-    public void probe(String worker) {
+    public void probe(String worker, long connectedByUs) {
         InetSocketAddress address = hosts.address(worker);
         if (address == null || !mayProbe(worker)) {
             loop().execute(() -> driver.probed(worker, ProbeResult.NOT_SENT, null));
             return;
         }
+        if (connectedByUs != Long.MAX_VALUE) {
+            probeOverLasting(worker, connectedByUs);
+            return;
+        }
         ServerLink kept = keptLink(worker, Effect.SAFE);
         if (kept != null) {
             ask(kept);
@@ -315,7 +319,21 @@
             driver.probed(link.worker(), ProbeResult.NOT_SENT, null);
             return;
         }
-        link.probe(site.probeUs());
+        link.probe(site.probeUs(), ProbeResult.HEALTHY);
+    }
+
+    /** Asks a worker over a connection that has stood since then, if one is idle. */
+    private void probeOverLasting(String worker, long sinceUs) {
+        Optional<ServerLink> resting = idle.getOrDefault(worker, NONE).stream()
+            .filter(link -> link.standsSince(sinceUs) && fresh(link)).findFirst();
+        if (resting.isPresent() && resting.get().stands()) {
+            idle.get(worker).remove(resting.get());
+            resting.get().probe(site.probeUs(), ProbeResult.HEALTHY_THROUGHOUT);
+            return;
+        }
+        boolean carries = open.stream().anyMatch(link -> link.worker().equals(worker) && link.standsSince(sinceUs));
+        ProbeResult none = carries ? ProbeResult.NOT_SENT : ProbeResult.NO_LASTING_CONNECTION;
+        loop().execute(() -> driver.probed(worker, none, null));
     }
 
     void probed(String worker, ProbeResult result, Report report) {
--- a/src/test/java/damsonslip/ProbedWorkersTest.java
+++ b/src/test/java/damsonslip/ProbedWorkersTest.java
@@ -72,7 +72,7 @@
         String asked = probed(first);
         assertNotNull(asked);
         script.pass(LEASE_US / 2);
-        assertEquals(asked, sentTo(answers(asked, ProbeResult.HEALTHY), "j1"));
+        assertEquals(asked, sentTo(answers(asked, ProbeResult.HEALTHY_THROUGHOUT), "j1"));
     }
 
     /** A drain that began when the probe was sent ends its grace so long after that. */
@@ -81,7 +81,7 @@
         loseTheList();
         String asked = probed(script.job("j1"));
         script.pass(LEASE_US - 10_000);
-        answers(asked, ProbeResult.HEALTHY);
+        answers(asked, ProbeResult.HEALTHY_THROUGHOUT);
         assertTrue(script.rules.mayUse(asked, script.now));
         assertFalse(script.rules.mayUse(asked, script.now + 10_000));
         script.pass(20_000);
@@ -93,7 +93,7 @@
         loseTheList();
         String asked = probed(script.job("j1"));
         script.pass(LEASE_US);
-        assertNull(sentTo(answers(asked, ProbeResult.HEALTHY), "j1"));
+        assertNull(sentTo(answers(asked, ProbeResult.HEALTHY_THROUGHOUT), "j1"));
     }
 
     @Test
@@ -105,7 +105,7 @@
         String other = probed(after);
         assertNotNull(other);
         assertFalse(asked.equals(other));
-        assertEquals(other, sentTo(answers(other, ProbeResult.HEALTHY), "j1"));
+        assertEquals(other, sentTo(answers(other, ProbeResult.HEALTHY_THROUGHOUT), "j1"));
     }
 
     /** Who was out of reach since discovery was heard may have started anew, and is cold then. */
@@ -124,11 +124,31 @@
         assertNotNull(sentTo(script.job("j3"), "j3"), "a list tells of restarts");
     }
 
+    /** A new connection does not tell whether its worker was started anew, or removed, meanwhile. */
+    @ParameterizedTest
+    @EnumSource(value = ProbeResult.class, names = {"HEALTHY", "NO_LASTING_CONNECTION"})
+    void onlyAConnectionThatHasStoodSinceDiscoveryWasHeardGivesALease(ProbeResult result) {
+        loseTheList();
+        String asked = probed(script.job("j1"));
+        assertNull(sentTo(answers(asked, result), "j1"));
+        assertFalse(script.rules.mayUse(asked, script.now));
+    }
+
+    /** The longer an outage lasts, the more has changed that no worker can tell. */
+    @Test
+    void nobodyIsAskedLongAfterDiscoveryWasHeard() {
+        loseTheList();
+        script.pass(20 * SECOND);
+        List<Action> at = script.job("j1");
+        assertNull(probed(at));
+        assertEquals(1, only(at, Refuse.class).size());
+    }
+
     @Test
     void aConnectionThatBreaksUnderAnAttemptEndsTheLease() {
         loseTheList();
         String asked = probed(script.job("j1"));
-        answers(asked, ProbeResult.HEALTHY);
+        answers(asked, ProbeResult.HEALTHY_THROUGHOUT);
         assertTrue(script.rules.mayUse(asked, script.now));
         script.ended("j1", 0, Outcome.RESET);
         assertFalse(script.rules.mayUse(asked, script.now));
@@ -140,7 +160,7 @@
         loseTheList();
         String asked = probed(script.job("j1"));
         script.give(new ConnectionLost(asked));
-        assertNull(sentTo(answers(asked, ProbeResult.HEALTHY), "j1"));
+        assertNull(sentTo(answers(asked, ProbeResult.HEALTHY_THROUGHOUT), "j1"));
         assertFalse(script.rules.mayUse(asked, script.now));
     }
 
@@ -184,7 +204,7 @@
         answers(other, ProbeResult.NOT_SENT);
         String again = probed(script.pass(SECOND / 5));
         assertNotNull(again);
-        assertEquals(again, sentTo(answers(again, ProbeResult.HEALTHY), "j1"));
+        assertEquals(again, sentTo(answers(again, ProbeResult.HEALTHY_THROUGHOUT), "j1"));
     }
 
     /** While a list holds nobody is asked. */
--- a/src/test/java/damsonslip/core/FailingActionTest.java
+++ b/src/test/java/damsonslip/core/FailingActionTest.java
@@ -31,7 +31,7 @@
         public void cancel(Execution execution) { }
 
         @Override
-        public void probe(String worker) { }
+        public void probe(String worker, long connectedByUs) { }
 
         @Override
         public void watch() { }
--- a/src/test/java/damsonslip/platform/ProbedWorkersServeTest.java
+++ b/src/test/java/damsonslip/platform/ProbedWorkersServeTest.java
@@ -53,8 +53,10 @@
             }
         });
         servers.add(discovery);
-        startCounting(file -> file.replace("\"may_cancel\":true", "\"may_cancel\":true,\"may_probe\":true"), worker);
+        startCounting(file -> file.replace("\"may_cancel\":true", "\"may_cancel\":true,\"may_probe\":true")
+            .replace("\"conn_idle_s\":2", "\"conn_idle_s\":20"), worker);
         awaitDiscovery();
+        assertEquals(200, ask()); // its connection is kept
         failing.set(true);
         discovery.endConnections();
         Thread.sleep(LIST_ENDS_MS);
