Ask workers of other zones over any connection, also at a start

Change: a worker of another zone was not lost together with this scheduler and answers for itself over any connection, also before discovery was heard; one of the own zone only over a connection that has stood since discovery was heard. An attempt without an answer ends a lease as well.

--- a/src/main/java/damsonslip/Probes.java
+++ b/src/main/java/damsonslip/Probes.java
@@ -6,6 +6,7 @@
 import damsonslip.Dispatch.ProbeEnded;
 import damsonslip.Known.Job;
 import damsonslip.Known.Worker;
+import damsonslip.membership.ProbeResult;
 import java.util.List;
 import java.util.function.Predicate;
 
@@ -65,11 +66,11 @@
     /**
      * Probes a worker for a lease on behalf of this job, which has not asked another one meanwhile.
      *
-     * @param heardUs when discovery was last heard
+     * @param heardUs when discovery was last heard; a connection to a worker of the own zone has to have stood since
      */
-    void probeFor(Job job, Worker w, long heardUs, long nowUs, List<Action> to) {
+    void probeFor(Job job, Worker w, int ownZone, long heardUs, long nowUs, List<Action> to) {
         job.probed = w;
-        send(w, heardUs, nowUs, to);
+        send(w, w.zone == ownZone ? heardUs : Long.MAX_VALUE, nowUs, to);
     }
 
     /** Whether the job has asked for a lease that may come yet. */
@@ -82,8 +83,13 @@
         to.add(new Probe(w.id, connectedByUs));
     }
 
-    /** A probe of the worker has ended. */
-    void ended(Worker w, ProbeEnded probe, long graceUs, long nowUs) {
-        w.lease.probeEnded(probe.result(), graceUs, nowUs);
+    /**
+     * A probe of the worker has ended. A worker that is well and was removed from the list meanwhile comes back with its
+     * zone: one of another zone was not lost together with this dispatcher, and answers for itself over any connection.
+     */
+    void ended(Worker w, ProbeEnded probe, int ownZone, long graceUs, long nowUs) {
+        ProbeResult result = probe.result().isHealthy() && w.zone != ownZone ? ProbeResult.HEALTHY_THROUGHOUT
+            : probe.result();
+        w.lease.probeEnded(result, graceUs, nowUs);
     }
 }
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -748,7 +748,7 @@
             // an error counts too: a worker that fails at once looks free, and would draw all there is
             case ERROR, NOT_CONNECTED, TIMED_OUT -> {
                 strike(w, w.suspect(outcome));
-                if (outcome == Outcome.NOT_CONNECTED) {
+                if (outcome != Outcome.ERROR) {
                     w.lease.connectionFailed(now);
                 }
             }
@@ -862,11 +862,13 @@
     /** Whether a job may wait: a list holds or may come any moment, or a worker can be asked itself. */
     private boolean mayWait() {
         return discovery.mayWait(now) || leases() && workers.values().stream().anyMatch(
-            w -> w.running && w.lease.isWorthAwaiting(discovery.heardUs(), now));
+            w -> w.running && (w.zone != settings.zone() || discovery.wasHeard())
+                && w.lease.isWorthAwaiting(discovery.heardUs(), now));
     }
 
     private boolean isWorthProbing(Worker w) {
-        return w.lease.isWorthProbing(discovery.heardUs(), now);
+        return (w.zone != settings.zone() || discovery.wasHeard())
+            && w.lease.isWorthProbing(discovery.heardUs(), now);
     }
 
     /** While no list holds, asks the worker that the job would go to whether it takes work. */
@@ -878,7 +880,7 @@
         boolean bound = job.risk != null && grouped(pool);
         Worker w = bound ? chooseInGroup(pool, job, asked) : choose(pool, job, false, asked);
         if (w != null && bearsProbe(w)) {
-            probes.probeFor(job, w, discovery.heardUs(), now, actions);
+            probes.probeFor(job, w, settings.zone(), discovery.heardUs(), now, actions);
         }
     }
 
@@ -887,7 +889,7 @@
         if (w == null) {
             return;
         }
-        probes.ended(w, e, discovery.graceUs(), now);
+        probes.ended(w, e, settings.zone(), discovery.graceUs(), now);
         if (e.result().isHealthy()) {
             reported(w, e.report(), true);
         }
--- a/src/main/java/damsonslip/membership/DiscoveryWatch.java
+++ b/src/main/java/damsonslip/membership/DiscoveryWatch.java
@@ -107,6 +107,7 @@
     private long calledAt;
     /** When discovery was last heard before the open watch was lost. */
     private long heardAt = NEVER;
+    private long begunAt = NEVER;
     /** A call found no way to discovery since it was last heard. */
     private boolean cutOff;
     private long validUntil = Long.MAX_VALUE;
@@ -144,6 +145,7 @@
     public long start(long nowUs, double random) {
         validUntil = nowUs + toldUs + graceUs - Math.min(RESTART_US, toldUs / 2);
         usableFrom = nowUs + FIRST_ANSWER_US;
+        begunAt = nowUs;
         return nowUs + (long) (Math.min(FIRST_CALL_US, SMALL_FLEET_FIRST_CALL_US * schedulers) * random);
     }
 
@@ -258,12 +260,17 @@
 
     /**
      * Whether workers that are on the last list may be asked themselves whether they drain, as discovery fails its calls.
-     * Not where it was never heard, cannot be reached, or may have moved: workers that it has removed may be well.
+     * Not where it cannot be reached, or may have moved: workers that it has removed may be well.
      */
     public boolean mayAskWorkers(long nowUs) {
-        boolean lost = state != State.OPEN && heardAt != NEVER && !cutOff;
+        boolean lost = state != State.OPEN && !cutOff;
         boolean moved = movedUntil != Long.MAX_VALUE || unreadUntil != Long.MAX_VALUE;
-        return lost && !moved && nowUs < heardAt + ASKED_US;
+        return lost && !moved && nowUs < Math.max(heardAt, begunAt) + ASKED_US;
+    }
+
+    /** Whether discovery has been heard at all, so that the last list is not that of the process before. */
+    public boolean wasHeard() {
+        return heardAt != NEVER;
     }
 
     /** So long after the news of a drain its worker may still be sent to, less what bytes need to leave. */
--- a/src/main/java/damsonslip/membership/WorkerLease.java
+++ b/src/main/java/damsonslip/membership/WorkerLease.java
@@ -40,7 +40,7 @@
     public void probeEnded(ProbeResult result, long graceUs, long nowUs) {
         outstanding = Math.max(0, outstanding - 1);
         switch (result) {
-            case HEALTHY -> { }
+            case HEALTHY -> { } // it may have been removed, or started anew, meanwhile
             case HEALTHY_THROUGHOUT -> {
                 if (failedAt < probedAt) { // else the answer may be of the process before the break
                     validUntil = Math.max(validUntil, probedAt + graceUs);
--- a/src/test/java/damsonslip/ProbedWorkersTest.java
+++ b/src/test/java/damsonslip/ProbedWorkersTest.java
@@ -22,6 +22,7 @@
 import damsonslip.Dispatch.ProbeEnded;
 import damsonslip.Dispatch.Refuse;
 import damsonslip.Dispatch.Settings;
+import damsonslip.Dispatch.Status;
 import damsonslip.membership.ProbeResult;
 import java.util.ArrayList;
 import java.util.List;
@@ -232,6 +233,15 @@
         assertNull(sentTo(all, "j2"));
     }
 
+    /** A worker of another zone was not lost together with this scheduler, and answers for itself. */
+    @Test
+    void aStartAsksWorkersOfOtherZones() {
+        script.list(ListMode.KEPT, worker("a"), worker("far", 1, 0, Status.RUNNING, Long.MIN_VALUE));
+        assertEquals("far", probed(script.job("j1")));
+        assertEquals("far", sentTo(answers("far", ProbeResult.HEALTHY), "j1"));
+        assertFalse(script.rules.mayUse("a", script.now));
+    }
+
     /** Who was cut off from discovery may be cut off together with workers that it has removed meanwhile. */
     @Test
     void whoCouldNotReachDiscoveryAsksNobody() {
--- a/src/test/java/damsonslip/platform/ProbedWorkersServeTest.java
+++ b/src/test/java/damsonslip/platform/ProbedWorkersServeTest.java
@@ -15,6 +15,7 @@
 class ProbedWorkersServeTest extends PlatformStage {
     /** A list holds so long after discovery was last heard at the most. */
     private static final long LIST_ENDS_MS = 6_500;
+    private static final long HEARD_MS = 1_200;
     private static final long GRACE_NS = TimeUnit.MILLISECONDS.toNanos(500);
     private static final long ASKED_FOR_NS = TimeUnit.SECONDS.toNanos(2);
 
@@ -57,6 +58,7 @@
             .replace("\"conn_idle_s\":2", "\"conn_idle_s\":20"), worker);
         awaitDiscovery();
         assertEquals(200, ask()); // its connection is kept
+        Thread.sleep(HEARD_MS); // and discovery is heard after it came up
         failing.set(true);
         discovery.endConnections();
         Thread.sleep(LIST_ENDS_MS);
