--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -35,17 +35,6 @@
 
     private Known() { }
 
-    /**
-     * How much more traffic than an even part this dispatcher has, by its middle tenant, so that it does not
-     * take its tenants to be beyond their quotas only because it is busy.
-     */
-    static double busier(double[] tenantRate, Dispatch.Settings settings) {
-        double[] used = tenantRate.clone();
-        Arrays.setAll(used, t -> used[t] * settings.dispatchers() / (settings.tenantQuotas().get(t) + 1e-9));
-        Arrays.sort(used);
-        return used.length < 2 ? 1 : Math.max(1, used[(used.length - 1) / 2]);
-    }
-
     static final class Worker {
         final String id;
         /** Evens out, over workers that started together, whose turn it is at each while they are cold. */
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -78,8 +78,6 @@
      * free. Guards against shares near one: alone, each would turn away half of what there is room for.
      */
     private static final double SWING = 2;
-    /** A tenant may run ahead of its quota by this many seconds of it. */
-    private static final double QUOTA_BURST_S = 4.0;
     /** A job waits this part of its spare time for its own pool before it may borrow from another. */
     private static final double BORROW_AFTER = 0.15;
     /** A job that has waited for this part of the slack is turned away if others wait behind it. */
@@ -104,15 +102,15 @@
     private final TreeMap<String, Worker> workers = new TreeMap<>();
     private final Map<String, Job> jobs = new HashMap<>();
     private final Pool[] pools;
-    private final double[] quotaLevel, tenantRate;
-    private final int[] tenantArrivals, kindSlots;
+    private final TenantQuotas quotas;
+    private final int[] kindSlots;
     private final FreeSeen[] freeSeen;
     private final Free[] freeAnywhere = {new Free(), new Free()};
     private final Probes probes = new Probes();
     private final Dealing dealing;
     private List<Action> actions;
-    private double busier = 1, measured, movesLeft = 1;
-    private long now = Long.MIN_VALUE, orders, dealtAt, quotaAt, loggedAt;
+    private double measured, movesLeft = 1;
+    private long now = Long.MIN_VALUE, orders, dealtAt, loggedAt;
     private boolean started, sweeping, subjects = true;
     private int borrowed, moved, beyondQuota, turnedAway;
 
@@ -128,10 +126,7 @@
             pools[i] = new Pool(settings.classes().get(i), settings.kinds(), settings.zones());
         }
         this.dealing = new Dealing(pools);
-        int tenants = settings.tenantQuotas().size();
-        this.quotaLevel = new double[tenants];
-        this.tenantRate = new double[tenants];
-        this.tenantArrivals = new int[tenants];
+        this.quotas = new TenantQuotas(settings.tenantQuotas().size());
         this.freeSeen = Stream.generate(FreeSeen::new).limit(settings.kinds()).toArray(FreeSeen[]::new);
         this.kindSlots = new int[settings.kinds()];
         Arrays.fill(kindSlots, FreeSeen.GUESSED_SLOTS);
@@ -188,7 +183,8 @@
 
     private void start() {
         started = true;
-        loggedAt = dealtAt = quotaAt = now;
+        loggedAt = dealtAt = now;
+        quotas.begin(now);
         timer(DEAL_US / 2 + random.nextLong(DEAL_US), DEAL);
         if (settings.listOnRequest()) {
             actions.add(new SetTimer(discovery.start(now, random.nextDouble()), LIST));
@@ -305,12 +301,8 @@
             pool.arrivals = 0;
             pool.forgetColdSubjects(now);
         }
-        for (int t = 0; t < tenantRate.length; t++) {
-            tenantRate[t] += weight * (tenantArrivals[t] / seconds - tenantRate[t]);
-            tenantArrivals[t] = 0;
-        }
+        quotas.measure(seconds, weight, settings);
         subjects = Arrays.stream(pools).anyMatch(pool -> !pool.heat.isEmpty());
-        busier = Known.busier(tenantRate, settings);
     }
 
     private static double aim(Pool pool) {
@@ -415,7 +407,7 @@
         jobs.put(ask.job(), job);
         pool.present++;
         actions.add(new SetTimer(ask.deadlineUs() - settings.tickUs(), OF_JOB + ask.job()));
-        boolean within = withinQuota(ask.tenant());
+        boolean within = quotas.takes(ask.tenant(), settings, now);
         job.near = near(pool, ask.subject());
         Worker w = pool.hold.isEmpty() || ask.subject() != null ? choose(pool, job, false) : null;
         // with a subject all dispatchers choose alike, so that only a report of that very worker counts
@@ -443,26 +435,6 @@
         }
     }
 
-    /**
-     * Whether the job lies within its tenant's quota, of which each dispatcher judges its own part. Guards
-     * against one tenant's excess crowding out those within theirs.
-     */
-    private boolean withinQuota(int tenant) {
-        if (quotaLevel.length == 0) {
-            return true;
-        }
-        tenantArrivals[tenant]++;
-        double seconds = (now - quotaAt) / SECOND;
-        quotaAt = now;
-        for (int t = 0; t < quotaLevel.length; t++) {
-            double part = settings.tenantQuotas().get(t) / settings.dispatchers() * busier;
-            quotaLevel[t] = Math.min(quotaLevel[t] + seconds * part, Math.max(2, QUOTA_BURST_S * part));
-        }
-        boolean within = quotaLevel[tenant] >= 1;
-        quotaLevel[tenant] -= within ? 1 : 0;
-        return within;
-    }
-
     private void hold(Job job) {
         job.held = true;
         pools[job.ask.jobClass()].hold.add(job);
