Probe four workers for each job where only probes report loads

Reports came by 15 probes a second and scheduler, 12 for each job, of workers in turn: seconds old, so that all go for the same workers. Change: a job asks two workers of the own zone and two others of its pool, waits 40 ms at the most, and goes to the one with most room of those that report enough; else as before. Only where reports come by probes alone.

--- a/src/main/java/damsonslip/Known.java
+++ b/src/main/java/damsonslip/Known.java
@@ -174,8 +174,11 @@
         boolean held;
         int near = 1;
         Attempt risk;
-        /** The worker that was probed for it last. */
+        /** The worker that was probed for its lease last. */
         Worker probed;
+        /** Workers that were probed for their load when the job came, and how long their answers are waited for. */
+        List<Worker> candidates = List.of();
+        long looksUntil = Long.MIN_VALUE;
 
         Job(JobArrived ask, long arrived, long order) {
             this.ask = ask;
--- a/src/main/java/damsonslip/Probes.java
+++ b/src/main/java/damsonslip/Probes.java
@@ -7,12 +7,14 @@
 import damsonslip.Known.Job;
 import damsonslip.Known.Worker;
 import damsonslip.membership.ProbeResult;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Predicate;
 
 /**
- * Which workers are probed: in rounds, for their load, where nothing else reports it; and one by one, for a lease
- * ({@link damsonslip.membership.WorkerLease}), while no list of discovery holds.
+ * Which workers are probed. Where nothing else reports their load: some for each job that comes, and all in slow rounds.
+ * While no list of discovery holds: one by one, for a lease ({@link damsonslip.membership.WorkerLease}).
  *
  * <p>Decides from what {@link Worker} holds; times are those of the events. Not safe for use by several threads.
  */
@@ -23,8 +25,16 @@
     private static final double POINTS = 0.003;
     /** Each worker is probed for its load this often at the most. */
     private static final long EVERY_US = 400_000;
-    /** Own jobs a second, at the least, by which probes are counted. */
-    private static final double LEAST_RATE = 10;
+    /** Own jobs a second, at the least, by which probes of the rounds are counted. */
+    private static final double LEAST_RATE = 2;
+    /** Workers probed for one job: more would know little more, as the reports of all are up to a second old. */
+    private static final int CANDIDATES = 4;
+    /** So many of them are of the own zone, if there are such. */
+    private static final int NEAR_CANDIDATES = 2;
+    /** A report this recent needs no probe. */
+    private static final long FRESH_US = 100_000;
+    /** Answers are waited for so long: a new connection to another zone takes some three round trips. */
+    static final long LOOK_US = 40_000;
     private static final double MOST_PER_JOB = 2;
     private static final double MOST_AT_ONCE = 20;
     private static final double SECOND = 1e6;
@@ -63,6 +73,33 @@
         }
     }
 
+    /**
+     * Probes some workers that a job could go to, whose answers it waits for; tells whether there are any. A report of long
+     * ago tells where many have gone since: all dispatchers go for the same workers by it.
+     *
+     * @param ring    the workers to choose from, from where the job begins to look
+     * @param mayTake whether a worker could take the job and bears a probe
+     */
+    boolean look(Job job, List<Worker> ring, int zone, Predicate<Worker> mayTake, long nowUs, List<Action> to) {
+        Set<Worker> found = new LinkedHashSet<>();
+        ring.stream().filter(w -> w.zone == zone && mayTake.test(w)).limit(NEAR_CANDIDATES).forEach(found::add);
+        ring.stream().filter(w -> !found.contains(w) && mayTake.test(w)).limit(CANDIDATES - found.size()).toList()
+            .forEach(found::add);
+        for (Worker w : found) {
+            if (!w.lease.isAwaited() && !(nowUs - w.reportedAt < FRESH_US)) {
+                send(w, Long.MAX_VALUE, nowUs, to);
+            }
+        }
+        job.candidates = List.copyOf(found);
+        job.looksUntil = nowUs + LOOK_US;
+        return isLooking(job, nowUs);
+    }
+
+    /** Whether a job waits for answers of the workers that were probed for it. */
+    boolean isLooking(Job job, long nowUs) {
+        return nowUs < job.looksUntil && job.candidates.stream().anyMatch(w -> w.lease.isAwaited());
+    }
+
     /**
      * Probes a worker for a lease on behalf of this job, which has not asked another one meanwhile.
      *
--- a/src/main/java/damsonslip/Rules.java
+++ b/src/main/java/damsonslip/Rules.java
@@ -427,14 +427,43 @@
             } else {
                 answer(job);
             }
-        } else if (w != null) {
+        } else if (w != null && !looksFirst(job)) {
             send(job, w);
         } else {
             hold(job);
+            pool.full &= !looksFirst(job); // it asks others than those that were full
             release(pool);
         }
     }
 
+    /** Where only probes report loads, a job asks some workers before it goes to one. */
+    private boolean looksFirst(Job job) {
+        boolean byProbe = settings.reporting() == Reporting.BY_PROBE && settings.limits().mayProbe();
+        return byProbe && job.ask.subject() == null && job.looksUntil == Long.MIN_VALUE;
+    }
+
+    /** Asks some workers that the job could go to; tells whether it waits for that. */
+    private boolean looks(Pool pool, Job job) {
+        if (!looksFirst(job)) {
+            return false;
+        }
+        List<Worker> members = new ArrayList<>(pool.members);
+        Collections.rotate(members, members.isEmpty() ? 0 : random.nextInt(members.size()));
+        Predicate<Worker> may = w -> mayTake(w, job) && w.pace(now) <= SLOW && bearsProbe(w);
+        return probes.look(job, members, settings.zone(), may, now, actions);
+    }
+
+    /** The candidate with most room of those that have just reported enough, own zone first; or null. */
+    private Worker chooseCandidate(Job job) {
+        return job.candidates.stream().filter(w -> w.reportedAt >= job.arrived && mayTake(w, job))
+            .filter(w -> free(w) >= job.ask.slots() && !(w.reportedMemory - w.sentMemory < job.ask.memory()))
+            .max(Comparator.comparingDouble(w -> free(w) + nearness(w))).orElse(null);
+    }
+
+    private double nearness(Worker w) {
+        return w.zone == settings.zone() ? Math.max(ROOM, ZONE * settings.limits().zonePrice()) : 0;
+    }
+
     private void hold(Job job) {
         job.held = true;
         pools[job.ask.jobClass()].hold.add(job);
@@ -452,6 +481,10 @@
             if (!job.held) {
                 continue;
             }
+            if (looks(pool, job) || probes.isLooking(job, now)) {
+                passed.add(job);
+                continue;
+            }
             Worker w = mayRepeat(job, job.risk) ? place(pool, job) : null;
             if (w != null) {
                 job.held = false;
@@ -484,7 +517,8 @@
         boolean anywhere = job.ask.subject() == null;
         double patience = anywhere ? BORROW_AFTER * (aim(pool) - pool.time) : LATE * slack(pool);
         boolean waited = now - job.arrived >= patience;
-        Worker w = choose(pool, job, waited);
+        Worker candidate = chooseCandidate(job);
+        Worker w = candidate != null ? candidate : choose(pool, job, waited);
         return w == null && waited ? borrow(pool, job) : w;
     }
 
@@ -537,8 +571,7 @@
             if (room < least || w.reportedMemory - w.sentMemory < job.ask.memory()) {
                 continue;
             }
-            boolean own = anywhere && w.zone == settings.zone();
-            room += own ? Math.max(ROOM, ZONE * settings.limits().zonePrice()) : 0;
+            room += anywhere ? nearness(w) : 0;
             if (found == null || room > most) {
                 found = w;
                 most = room;
