--- a/src/test/java/damsonslip/kit/Peer.java
+++ b/src/test/java/damsonslip/kit/Peer.java
@@ -41,7 +41,12 @@
         private final List<Peer> peers = new CopyOnWriteArrayList<>();
 
         public Server(int port, Handler handler) throws IOException {
-            socket = new ServerSocket(port, 100, InetAddress.getByName("127.0.0.1"));
+            this(new ServerSocket(port, 100, InetAddress.getByName("127.0.0.1")), handler);
+        }
+
+        /** A server on a socket with options of its own. */
+        public Server(ServerSocket listening, Handler handler) {
+            socket = listening;
             daemon(() -> {
                 while (!socket.isClosed()) {
                     Peer peer = new Peer(socket.accept());
@@ -142,6 +147,13 @@
         return new Message(first, fields, new String(in.readNBytes(length), StandardCharsets.UTF_8));
     }
 
+    /** What is there to read, so many bytes at the most, once there is any; empty at the end of the stream. */
+    public String some(int most) throws IOException {
+        byte[] part = new byte[most];
+        int count = socket.getInputStream().read(part);
+        return new String(part, 0, Math.max(0, count), StandardCharsets.US_ASCII);
+    }
+
     public String bytes(int count) throws IOException {
         return new String(in.readNBytes(count), StandardCharsets.UTF_8);
     }
--- a/src/test/java/damsonslip/platform/LocalFailuresTest.java
+++ b/src/test/java/damsonslip/platform/LocalFailuresTest.java
@@ -53,19 +53,7 @@
     @Test
     void sendsNothingOnAnOldListWhereItsDialsAreNotWatched() throws Exception {
         AtomicBoolean busy = new AtomicBoolean();
-        discovery = new Peer.Server(0, peer -> {
-            peer.message();
-            if (busy.get()) {
-                failCall(peer);
-                return;
-            }
-            peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").chunk(list(7, false));
-            for (int i = 0; i < 30; i++) {
-                Thread.sleep(1_000);
-                peer.chunk("");
-            }
-        });
-        servers.add(discovery);
+        discovery = discoveryFailingWhile(busy::get);
         startWithFaults(worker("a", SERVE));
         assertEquals(200, ask(query("q1", "read", "4000m")).status());
         busy.set(true);
--- a/src/test/java/damsonslip/platform/PlatformStage.java
+++ b/src/test/java/damsonslip/platform/PlatformStage.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.UnaryOperator;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -131,6 +132,24 @@
         return server;
     }
 
+    /** Discovery that has no news, and fails all calls while this holds. */
+    Peer.Server discoveryFailingWhile(BooleanSupplier failing) throws IOException {
+        Peer.Server server = new Peer.Server(0, peer -> {
+            peer.message();
+            if (failing.getAsBoolean()) {
+                failCall(peer);
+                return;
+            }
+            peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").chunk(list(7, false));
+            for (int i = 0; i < 30; i++) {
+                Thread.sleep(1_000);
+                peer.chunk("");
+            }
+        });
+        servers.add(server);
+        return server;
+    }
+
     /** What discovery does with a call that it does not get round to. */
     static void failBusy(Peer peer) throws IOException, InterruptedException {
         peer.message();
--- a/src/test/java/damsonslip/platform/ProbedWorkersServeTest.java
+++ b/src/test/java/damsonslip/platform/ProbedWorkersServeTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import damsonslip.kit.Peer;
 import damsonslip.kit.Program;
 import java.io.IOException;
 import java.util.concurrent.TimeUnit;
@@ -41,19 +40,7 @@
     };
 
     private void startAndLoseTheList(String worker) throws Exception {
-        discovery = new Peer.Server(0, peer -> {
-            peer.message();
-            if (failing.get()) {
-                failCall(peer);
-                return;
-            }
-            peer.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").chunk(list(7, false));
-            for (int i = 0; i < 30; i++) {
-                Thread.sleep(1_000);
-                peer.chunk("");
-            }
-        });
-        servers.add(discovery);
+        discovery = discoveryFailingWhile(failing::get);
         startCounting(file -> file.replace("\"may_cancel\":true", "\"may_cancel\":true,\"may_probe\":true")
             .replace("\"conn_idle_s\":2", "\"conn_idle_s\":20"), worker);
         awaitDiscovery();
--- a/src/test/java/damsonslip/platform/SlowUploadsTest.java
+++ b/src/test/java/damsonslip/platform/SlowUploadsTest.java
@@ -8,15 +8,11 @@
 import damsonslip.kit.Peer.Message;
 import java.io.EOFException;
 import java.io.IOException;
-import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
@@ -35,71 +31,40 @@
     private record Arrival(long toldMs, long atNs) { }
 
     private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
-    private ServerSocket slow;
+    private Peer.Server slow;
 
     @BeforeEach
     void listen() throws IOException {
-        slow = new ServerSocket();
-        slow.setReceiveBufferSize(SMALL_BUFFER);
-        slow.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
-        daemon(() -> {
-            while (!slow.isClosed()) {
-                Socket connection = slow.accept();
-                daemon(() -> take(connection));
-            }
-        });
-    }
-
-    @AfterEach
-    void close() throws IOException {
-        slow.close();
-    }
-
-    private interface Task {
-        void run() throws IOException, InterruptedException;
-    }
-
-    private static void daemon(Task task) {
-        Thread thread = new Thread(() -> {
-            try {
-                task.run();
-            } catch (IOException | InterruptedException e) {
-                // the other side has gone, or the test is over
-            }
-        });
-        thread.setDaemon(true);
-        thread.start();
+        ServerSocket socket = new ServerSocket();
+        socket.setReceiveBufferSize(SMALL_BUFFER);
+        socket.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
+        slow = new Peer.Server(socket, this::take);
+        servers.add(slow);
     }
 
-    private void take(Socket connection) throws IOException, InterruptedException {
-        try (connection) {
-            StringBuilder got = new StringBuilder();
-            int whole = Integer.MAX_VALUE;
-            InputStream in = connection.getInputStream();
-            byte[] part = new byte[PART];
-            while (got.length() < whole) {
-                int count = in.read(part, 0, Math.min(PART, whole - got.length()));
-                if (count < 0) {
-                    throw new EOFException();
-                }
-                got.append(new String(part, 0, count, StandardCharsets.US_ASCII));
-                int headEnd = got.indexOf("\r\n\r\n");
-                whole = headEnd < 0 ? whole : headEnd + 4 + BODY;
-                Thread.sleep(PART_MS);
+    private void take(Peer peer) throws IOException, InterruptedException {
+        StringBuilder got = new StringBuilder();
+        int whole = Integer.MAX_VALUE;
+        while (got.length() < whole) {
+            String part = peer.some(Math.min(PART, whole - got.length()));
+            if (part.isEmpty()) {
+                throw new EOFException();
             }
-            String told = got.toString().replaceAll("(?s).*X-Time-Left: ([0-9]+)u.*", "$1");
-            arrivals.add(new Arrival(Long.parseLong(told) / 1_000, System.nanoTime()));
-            String id = got.toString().replaceAll("(?s).*X-Correlation-Id: (\\S+).*", "$1");
-            String line = "{\"id\":\"" + id + "\",\"from\":\"w\",\"state\":\"done\",\"result\":\"r-" + id + "\"}\n";
-            connection.getOutputStream().write(("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-                + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n0\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+            got.append(part);
+            int headEnd = got.indexOf("\r\n\r\n");
+            whole = headEnd < 0 ? whole : headEnd + 4 + BODY;
+            Thread.sleep(PART_MS);
         }
+        String told = got.toString().replaceAll("(?s).*X-Time-Left: ([0-9]+)u.*", "$1");
+        arrivals.add(new Arrival(Long.parseLong(told) / 1_000, System.nanoTime()));
+        String id = got.toString().replaceAll("(?s).*X-Correlation-Id: (\\S+).*", "$1");
+        peer.answerLines("{\"id\":\"" + id + "\",\"from\":\"w\",\"state\":\"done\",\"result\":\"r-" + id + "\"}");
     }
 
     /** What it is told goes by the time at which its last byte leaves, however long that takes. */
     @Test
     void aWorkerThatTakesItsRequestSlowlyIsToldNoMoreThanIsLeft() throws Exception {
-        start(entry("a", slow.getLocalPort(), "ready"));
+        start(entry("a", slow.port(), "ready"));
         long sentNs = System.nanoTime();
         try (Peer client = Peer.connect(port).send(large("q1", BODY))) {
             Message answer = client.message();
