Red test: the look behind the selector writes the rest of a request whose client left

Behind a long turn the look is due first. Seen as one failure of HeldUpDeparturesTest in a suite on three busy cores.

--- a/src/test/java/damsonslip/platform/HeldUpDeparturesTest.java
+++ b/src/test/java/damsonslip/platform/HeldUpDeparturesTest.java
@@ -24,6 +24,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -233,10 +234,13 @@
         assertEquals(List.of(), heldAndSent());
     }
 
-    /** The worker takes what had stood still before the close, and there is room for the rest of the request. */
+    /**
+     * The worker takes what had stood still before the close, and there is room for the rest of the request. Behind a long
+     * turn the look at connections that the system may not watch comes first.
+     */
     @ParameterizedTest
-    @ValueSource(booleans = {true, false})
-    void theRestOfARequestIsNotWrittenBehindATurnInWhichItsClientLeft(boolean mayCancel) throws Exception {
+    @CsvSource({"true,0", "false,0", "false,300"})
+    void theRestOfARequestIsNotWrittenBehindATurnInWhichItsClientLeft(boolean mayCancel, long longerMs) throws Exception {
         try (ServerSocket slow = new ServerSocket()) {
             slow.setReceiveBufferSize(4 * 1024);
             slow.bind(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0));
@@ -248,7 +252,7 @@
                 holdUp();
                 int came = 1 + drain(worker);
                 client.close();
-                Thread.sleep(ARRIVES_MS);
+                Thread.sleep(ARRIVES_MS + longerMs);
                 resume(); // at once, or the request would be given up for standing still
                 came += worker.getInputStream().readAllBytes().length; // ends with the connection
                 assertTrue(came < LARGE, "it did not come whole: " + came);
