--- a/review/standins/BadClientsCase.java
+++ b/review/standins/BadClientsCase.java
@@ -18,7 +18,7 @@
     private static final long RUN_TIME_MS = 60;
 
     /** With the usual clients, below a third of the 1,024 descriptors of the configuration. */
-    private static final int BAD_CLIENTS = 300;
+    private static final int BAD_CLIENTS = 320;
 
     /** The largest body that the protocol allows. */
     private static final int LARGEST_BODY = 64 * 1024;
--- a/review/standins/RepushedJobCase.java
+++ b/review/standins/RepushedJobCase.java
@@ -11,6 +11,7 @@
     private static final long STORE_IS_ASKED_AGAIN_MS = 300;
 
     private static final long SETTLED_MS = 1_500;
+    private static final long RUN_TIME_MS = 10;
     private static final int MAX_PUSHES = 20;
 
     private FaktoryPeer producer;
@@ -100,7 +101,7 @@
         for (String jid = worker.fetch("status submit"); jid != null; ) {
             runs += jid.equals(JID) ? 1 : 0;
             record.log("worker: RUNS %s%s", jid, jid.equals(JID) ? ", run number " + runs : "");
-            Thread.sleep(20);
+            Thread.sleep(RUN_TIME_MS);
             acknowledge(jid);
             jid = worker.fetch("status submit");
         }
--- a/review/standins/RestartCase.java
+++ b/review/standins/RestartCase.java
@@ -18,7 +18,7 @@
     /** A worker has found the queue empty if so many FETCHes in a row, of 2 s each, get nothing. */
     private static final int EMPTY_FETCHES = 4;
 
-    private static final long RECONNECT_MS = 20;
+    private static final long RECONNECT_MS = 10;
     private static final long RECONNECT_FOR_MS = 20_000;
     private static final long PUSHES_TIMEOUT_S = 30;
     private static final long WORK_TIMEOUT_S = 60;
