Review case 1: record the workers' runs and the scheduler's own word

Cause: the record told what was sent and answered, but not what ran; a process that had ended would have been called a hang.

Change: the workers' runs and the count of OutOfMemoryError in the scheduler's log go into the record; the verdict tells the two apart. The check is the same.

--- a/review/standins/BadClientsCase.java
+++ b/review/standins/BadClientsCase.java
@@ -55,7 +55,11 @@
     String play() throws Exception {
         List<WorkerStandIn> workers = new ArrayList<>();
         for (int i = 0; i < WORKERS; i++) {
-            workers.add(new WorkerStandIn("w-" + i, RUN_TIME_MS, (worker, id, body) -> {}));
+            workers.add(
+                    new WorkerStandIn(
+                            "w-" + i,
+                            RUN_TIME_MS,
+                            (worker, id, body) -> record.log("worker %s: RUNS %s", worker, id)));
         }
         DiscoveryStandIn discovery = new DiscoveryStandIn(workers);
         scheduler =
@@ -83,7 +87,7 @@
         sendUsualRequests(AFTERWARDS_MS);
         Thread.sleep(LOST_AFTER_MS + 500);
         String ready = scheduler.manage("READY");
-        boolean hangs = ready.isEmpty() && lastAnswerNs.get() < aloneNs;
+        boolean answersNobody = ready.isEmpty() && lastAnswerNs.get() < aloneNs;
         record.log("answers to usual clients: %s", usual);
         record.log("answers to bad clients: %s", bad);
         record.log(
@@ -92,11 +96,15 @@
                 scheduler.isAlive() ? "alive" : "dead",
                 ready.isEmpty() ? "nothing" : ready,
                 lastAnswerNs.get() < aloneNs ? "no answer" : "answers");
-        if (lost.get() > 0 || hangs) {
-            return "lost: " + lost.get() + " usual requests got no final answer"
-                    + (hangs ? "; the process hangs, also without the bad clients" : "");
+        record.log(
+                "scheduler: %d lines of its log tell of an OutOfMemoryError",
+                scheduler.logLines("OutOfMemoryError"));
+        if (lost.get() == 0 && !answersNobody) {
+            return null;
         }
-        return null;
+        String process = scheduler.isAlive() ? "the process hangs" : "the process has ended";
+        return "lost: " + lost.get() + " usual requests got no final answer"
+                + (answersNobody ? "; " + process + ", also without the bad clients" : "");
     }
 
     private void sendUsualRequests(long forMs) throws InterruptedException {
--- a/review/standins/PlatformScheduler.java
+++ b/review/standins/PlatformScheduler.java
@@ -1,13 +1,16 @@
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 /** One process of a platform scheduler, started by the line {@code run} of the deploy file. */
 final class PlatformScheduler {
     private static final long START_TIMEOUT_MS = 20_000;
+    private static final String LOG = "scheduler.log";
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"([^\"]*)\"");
 
     final int port;
@@ -52,7 +55,7 @@
         builder.environment().put("TMPDIR", temporary.toString());
         builder.redirectErrorStream(true);
         builder.redirectOutput(
-                ProcessBuilder.Redirect.appendTo(folder.resolve("scheduler.log").toFile()));
+                ProcessBuilder.Redirect.appendTo(folder.resolve(LOG).toFile()));
         process = builder.start();
         Processes.started(process);
         long untilNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(START_TIMEOUT_MS);
@@ -68,6 +71,14 @@
         record.log("scheduler: process %d says YES to READY", process.pid());
     }
 
+    /** Returns how many lines of the scheduler's log have this text. */
+    long logLines(String text) throws IOException {
+        try (Stream<String> lines =
+                Files.lines(folder.resolve(LOG), StandardCharsets.ISO_8859_1)) {
+            return lines.filter(line -> line.contains(text)).count();
+        }
+    }
+
     /** Calls the second address; returns the answer's first line, empty if there is none. */
     String manage(String call) {
         return Http.line(managementPort, call);
