--- a/review/standins/RestartCase.java
+++ b/review/standins/RestartCase.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * The scheduler is restarted while jobs wait in a queue and producers push further ones as soon as
@@ -25,6 +26,7 @@
 
     private final Set<String> acknowledged = new ConcurrentSkipListSet<>();
     private final Set<String> ran = new ConcurrentSkipListSet<>();
+    private final AtomicInteger failedWorkers = new AtomicInteger();
     private FaktoryScheduler scheduler;
 
     public static void main(String[] args) {
@@ -64,6 +66,7 @@
             Threads.daemon("worker", () -> workUntilNoneIsLeft(wid, worked));
         }
         require(worked.await(WORK_TIMEOUT_S, TimeUnit.SECONDS), "the workers are not done");
+        require(failedWorkers.get() == 0, "a worker has lost its connection");
 
         Set<String> lost = new TreeSet<>(acknowledged);
         lost.removeAll(ran);
@@ -126,6 +129,7 @@
                 }
             }
         } catch (IOException e) {
+            failedWorkers.incrementAndGet();
             record.log("worker %s: %s", wid, e);
         }
         worked.countDown();
