End a process that cannot serve any more, and go on with periodic tasks

Cause: the event loop caught the error and went on, and Jetty's selector logs an unexpected error and ends its loop for good. The same class elsewhere: the store's thread died of an Error and every later command waited for ever; a RuntimeException during the start left the loop's thread running; a periodic task that failed once was never scheduled again; an access to the shared directory that failed unexpectedly called neither of its callbacks.

EventLoop.repeatAfter schedules the next run in any case.

--- a/src/main/java/damsonslip/admin/upgrade/DirectoryThread.java
+++ b/src/main/java/damsonslip/admin/upgrade/DirectoryThread.java
@@ -71,6 +71,9 @@
                         loop.execute(() -> onSuccess.accept(result));
                     } catch (IOException e) {
                         loop.execute(() -> onFailure.accept(e));
+                    } catch (RuntimeException e) { // the caller waits for one of the callbacks
+                        IOException failure = new IOException("an access failed", e);
+                        loop.execute(() -> onFailure.accept(failure));
                     }
                 });
     }
--- a/src/main/java/damsonslip/cli/ServeCommand.java
+++ b/src/main/java/damsonslip/cli/ServeCommand.java
@@ -8,6 +8,7 @@
 import damsonslip.engine.Counters;
 import damsonslip.engine.Counters.Count;
 import damsonslip.engine.EventLoop;
+import damsonslip.engine.FatalErrors;
 import damsonslip.engine.Frontend;
 import damsonslip.engine.LifecyclePhase;
 import damsonslip.engine.LifecyclePhase.State;
@@ -60,10 +61,11 @@
 
     private void startProcess(String file, Map<String, String> environment)
             throws ConfigurationException, IOException {
+        FatalErrors.handleUncaught();
         loop.onTaskFailed(() -> counters.add(Count.TASKS_FAILED));
         try {
             startFront(file == null ? platform(environment) : faktory(file));
-        } catch (ConfigurationException | IOException e) {
+        } catch (ConfigurationException | IOException | RuntimeException e) {
             removeShutdownHook();
             phase.advanceTo(State.ENDED);
             loop.stop();
--- a/src/main/java/damsonslip/cli/SignalThread.java
+++ b/src/main/java/damsonslip/cli/SignalThread.java
@@ -1,5 +1,6 @@
 package damsonslip.cli;
 
+import damsonslip.engine.FatalErrors;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.slf4j.Logger;
@@ -69,6 +70,7 @@
             } catch (InterruptedException e) {
                 return; // nothing but the end of the JVM interrupts this thread
             } catch (RuntimeException | Error e) {
+                FatalErrors.endProcessIfFatal(e);
                 LOG.error("event=signal_action_failed", e);
             }
         }
--- a/src/main/java/damsonslip/engine/EventLoop.java
+++ b/src/main/java/damsonslip/engine/EventLoop.java
@@ -86,6 +86,22 @@
         return scheduleAt(nowUs() + delayUs, task);
     }
 
+    /**
+     * Runs a task again and again, each time after a pause in microseconds, also after it has
+     * failed; until {@link #stop}.
+     */
+    public void repeatAfter(long pauseUs, Runnable task) {
+        Runnable taskAndNext =
+                () -> {
+                    try {
+                        task.run();
+                    } finally {
+                        repeatAfter(pauseUs, task);
+                    }
+                };
+        scheduleAfter(pauseUs, taskAndNext);
+    }
+
     /** Sets the listener that is called on the loop for each task that fails. */
     public void onTaskFailed(Runnable listener) {
         failureListener = listener;
@@ -113,6 +129,7 @@
                 latency.add(TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - dueNanoTime));
                 task.run();
             } catch (RuntimeException | Error e) { // the executor would swallow an Error silently
+                FatalErrors.endProcessIfFatal(e);
                 LOG.error("event=task_failed a task on the event loop failed", e);
                 failureListener.run();
             }
--- a/src/main/java/damsonslip/faktory/JobCoordinator.java
+++ b/src/main/java/damsonslip/faktory/JobCoordinator.java
@@ -66,7 +66,7 @@
                         fetchDirectory,
                         fairQueueOrder);
         this.lateReports = new LateReports(loop, lifecycle, completion, fetchDirectory, counters);
-        loop.scheduleAfter(SWEEP_INTERVAL_US, this::sweep);
+        loop.repeatAfter(SWEEP_INTERVAL_US, this::sweep);
     }
 
     JobTable jobTable() {
@@ -111,17 +111,13 @@
     }
 
     private void sweep() {
-        try {
-            if (phase.is(LifecyclePhase.State.SERVING) || phase.is(LifecyclePhase.State.LEAVING)) {
-                enqueueDue();
-                dispatcher.withdrawUnfetched();
-                dispatcher.dispatchSoon();
-                if (++sweeps % SWEEPS_PER_HOUSEKEEPING == 0) {
-                    removeExpired();
-                }
+        if (phase.is(LifecyclePhase.State.SERVING) || phase.is(LifecyclePhase.State.LEAVING)) {
+            enqueueDue();
+            dispatcher.withdrawUnfetched();
+            dispatcher.dispatchSoon();
+            if (++sweeps % SWEEPS_PER_HOUSEKEEPING == 0) {
+                removeExpired();
             }
-        } finally {
-            loop.scheduleAfter(SWEEP_INTERVAL_US, this::sweep);
         }
     }
 
--- a/src/main/java/damsonslip/faktory/WorkerRegistry.java
+++ b/src/main/java/damsonslip/faktory/WorkerRegistry.java
@@ -62,7 +62,7 @@
         this.engine = engine;
         this.store = store;
         this.reservations = reservations;
-        loop.scheduleAfter(SWEEP_INTERVAL_US, this::sweep);
+        loop.repeatAfter(SWEEP_INTERVAL_US, this::sweep);
     }
 
     Collection<Worker> all() {
@@ -214,7 +214,6 @@
             }
             worker.decaySlots();
         }
-        loop.scheduleAfter(SWEEP_INTERVAL_US, this::sweep);
     }
 
     private Stream<Worker> running() {
--- a/src/main/java/damsonslip/platform/worker/ConnectionPool.java
+++ b/src/main/java/damsonslip/platform/worker/ConnectionPool.java
@@ -49,7 +49,7 @@
 
     /** Starts to close connections regularly that have been idle for too long. */
     void startSweeping() {
-        loop.scheduleAfter(SWEEP_INTERVAL_US, this::sweep);
+        loop.repeatAfter(SWEEP_INTERVAL_US, this::sweep);
     }
 
     private void sweep() {
@@ -61,7 +61,6 @@
                         .toList();
         stale.forEach(this::closeStale);
         idle.values().removeIf(ArrayDeque::isEmpty);
-        startSweeping();
     }
 
     /**
--- a/src/main/java/damsonslip/store/AsyncStore.java
+++ b/src/main/java/damsonslip/store/AsyncStore.java
@@ -1,6 +1,7 @@
 package damsonslip.store;
 
 import damsonslip.engine.EventLoop;
+import damsonslip.engine.FatalErrors;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -30,6 +31,7 @@
     /** Maximum number of operations in a round trip, which must stay within the store's timeout. */
     private static final int MAX_BATCH = 512;
 
+    private static final String THREAD_NAME = "store";
     private static final long RETRY_DELAY_US = 500_000;
     private static final long POLL_TIMEOUT_MS = 100;
     private static final long CLOSE_TIMEOUT_S = 2;
@@ -42,7 +44,7 @@
     private final StoreCircuitBreaker circuitBreaker;
     private final LinkedBlockingQueue<Call<?>> calls = new LinkedBlockingQueue<>();
     private final AtomicInteger pending = new AtomicInteger();
-    private final Thread thread = new Thread(this::executeCalls, "store");
+    private final Thread thread = new Thread(this::runThread, THREAD_NAME);
 
     /**
      * The newest record of each job among the submitted writes: a failed write of an older record
@@ -124,6 +126,10 @@
         enqueue(new Call<>(operation, done -> {}, retryLater));
     }
 
+    private void runThread() {
+        FatalErrors.runEssential(THREAD_NAME, this::executeCalls);
+    }
+
     private void executeCalls() {
         try {
             while (!closing || !calls.isEmpty()) {
--- a/src/main/java/damsonslip/transport/ConnectionManager.java
+++ b/src/main/java/damsonslip/transport/ConnectionManager.java
@@ -45,6 +45,7 @@
 
     private final EventLoop loop;
     private final RoundClock rounds;
+    private final SelectorMonitor selectorMonitor = new SelectorMonitor();
 
     /** Open connections, and those closed since the last check; used on the loop. */
     private final List<EventLoopConnection> connections = new ArrayList<>();
@@ -105,7 +106,7 @@
             throws IOException {
         ConnectionManager manager =
                 DescriptorShortage.retryWhileShort(() -> startOnce(loop, connectTimeoutMs));
-        loop.scheduleAfter(UNREPORTED_CHECK_INTERVAL_US, manager::checkUnreported);
+        loop.repeatAfter(UNREPORTED_CHECK_INTERVAL_US, manager::checkUnreported);
         return manager;
     }
 
@@ -123,12 +124,12 @@
         }
     }
 
-    /** Checks all sockets for events that the selector has not reported. */
+    /** Checks all sockets for events that the selector has not reported, and the selector. */
     private void checkUnreported() {
+        selectorMonitor.check(task -> selector.submit(thisRound -> task.run()));
         connections.removeIf(EventLoopConnection::isClosed);
         List.copyOf(connections).forEach(EventLoopConnection::checkUnreported);
         selector.submit(listeners::acceptUnreported);
-        loop.scheduleAfter(UNREPORTED_CHECK_INTERVAL_US, this::checkUnreported);
     }
 
     /** Returns the event loop on which all connections are used. */
--- a/src/test/java/damsonslip/engine/EventLoopTest.java
+++ b/src/test/java/damsonslip/engine/EventLoopTest.java
@@ -28,4 +28,19 @@
         assertEquals(2, failures.get());
         loop.stop();
     }
+
+    /** A periodic task whose one failure ended all later runs would silently be missing. */
+    @Test
+    void repeatsTaskAfterItsFailure() throws Exception {
+        EventLoop loop = new EventLoop();
+        CountDownLatch runs = new CountDownLatch(3);
+        loop.repeatAfter(
+                1_000,
+                () -> {
+                    runs.countDown();
+                    throw new IllegalStateException("an exception");
+                });
+        assertTrue(runs.await(5, TimeUnit.SECONDS));
+        loop.stop();
+    }
 }
