--- a/src/main/java/damsonslip/faktory/Faktory.java
+++ b/src/main/java/damsonslip/faktory/Faktory.java
@@ -20,7 +20,9 @@
 import damsonslip.transport.ConnectionManager;
 import damsonslip.transport.EventLoopConnection;
 import damsonslip.transport.LimitedAcceptor;
+import damsonslip.transport.datarate.BufferBudget;
 import damsonslip.transport.datarate.MinimumDataRate;
+import damsonslip.transport.datarate.SharedBufferLimit;
 import java.io.Closeable;
 import java.io.IOException;
 import java.security.SecureRandom;
@@ -49,6 +51,15 @@
      */
     private static final int OVERFLOW_DIVISOR = 8;
 
+    /**
+     * Commands that are incomplete or being handled may together hold one part in this many of the
+     * heap, as their text; decoded, they take several times as much.
+     */
+    private static final int COMMAND_HEAP_DIVISOR = 16;
+
+    /** Replies that are not read may together hold one part in this many of the heap. */
+    private static final int REPLY_HEAP_DIVISOR = 8;
+
     /** The interval of the check for slow peers, and so the maximum delay until one is detected. */
     private static final long SLOW_PEER_CHECK_US = 500_000;
 
@@ -62,7 +73,11 @@
     private final AsyncStore store;
     private final FaktoryServices services;
     private final CommandRouter router;
-    private long bufferedBytes;
+
+    /** The memory of the commands that are incomplete or being handled. */
+    private final SharedBufferLimit<FaktoryConnection> commandMemory =
+            SharedBufferLimit.partOfHeap(COMMAND_HEAP_DIVISOR);
+
     private volatile Closeable listener;
 
     /**
@@ -96,7 +111,7 @@
         this.store = new AsyncStore(loop, createStore(config));
         this.services = new FaktoryServices(loop, phase, counters, config, engine, store);
         this.router = new CommandRouter(services, counters, () -> limiter().connections().size());
-        loop.scheduleAfter(SLOW_PEER_CHECK_US, this::closeSlowPeers);
+        loop.repeatAfter(SLOW_PEER_CHECK_US, this::closeSlowPeers);
     }
 
     private static JobStore createStore(FaktoryConfig config) throws ConfigurationException {
@@ -245,13 +260,29 @@
         return password;
     }
 
-    /** Adds to the total size of buffered incomplete commands; a negative number subtracts. */
-    void addBufferedBytes(int bytes) {
-        bufferedBytes += bytes;
+    /** The memory of the commands that are incomplete or being handled. */
+    SharedBufferLimit<FaktoryConnection> commandMemory() {
+        return commandMemory;
     }
 
-    long bufferedBytes() {
-        return bufferedBytes;
+    /** Closes connections with incomplete commands if all commands hold too much memory. */
+    void enforceCommandMemory() {
+        for (FaktoryConnection connection : commandMemory.chooseExcess(loop.nowUs())) {
+            connection.discardIncomplete();
+        }
+    }
+
+    /** Closes the slowest readers if the replies that are not read hold too much memory. */
+    void enforceReplyMemory() {
+        long maxBytes = Runtime.getRuntime().maxMemory() / REPLY_HEAP_DIVISOR;
+        List<BufferBudget.Usage<FaktoryConnection>> usages =
+                limiter().connections().stream()
+                        .map(FaktoryConnection::replyUsage)
+                        .filter(usage -> usage.bufferedBytes() > 0)
+                        .toList();
+        for (FaktoryConnection connection : BufferBudget.chooseOverBudget(maxBytes, usages)) {
+            connection.closeSlowReader("does not read its replies, which hold too much memory");
+        }
     }
 
     MinimumDataRate.Limits peerLimits() {
@@ -268,7 +299,6 @@
     private void closeSlowPeers() {
         long now = loop.nowUs();
         List.copyOf(limiter().connections()).forEach(connection -> connection.closeIfTooSlow(now));
-        loop.scheduleAfter(SLOW_PEER_CHECK_US, this::closeSlowPeers);
     }
 
     /** Counts and logs that a slow peer is being closed. */
--- a/src/main/java/damsonslip/faktory/FaktoryConnection.java
+++ b/src/main/java/damsonslip/faktory/FaktoryConnection.java
@@ -9,6 +9,7 @@
 import damsonslip.faktory.codec.Reply;
 import damsonslip.transport.EventLoopConnection;
 import damsonslip.transport.LineDecoder;
+import damsonslip.transport.datarate.BufferBudget;
 import damsonslip.transport.datarate.MinimumDataRate;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -25,14 +26,13 @@
     private static final int MAX_HELLO_BYTES = 16 * 1024;
 
     /**
-     * An incomplete command up to this size is accepted even if the total buffer limit is reached.
+     * Commands up to this size are accepted even if all commands hold too much memory, so that
+     * workers can report on their jobs; their number is bounded by that of the connections.
      */
-    private static final int ALWAYS_ACCEPTED_BYTES = 32 * 1024;
+    private static final int ALWAYS_ACCEPTED_BYTES = 4 * 1024;
 
-    /**
-     * The maximum heap size divided by this limits the total size of buffered incomplete commands.
-     */
-    private static final int HEAP_DIVISOR = 16;
+    private static final CommandError OUT_OF_MEMORY =
+            CommandError.error("too much is being sent here at once; come back in a moment");
 
     private static final long HELLO_TIMEOUT_US = 2_000_000;
     private static final int PROTOCOL_VERSION = 2;
@@ -44,6 +44,9 @@
     /** The number of bytes received of an incomplete command. */
     private int incompleteBytes;
 
+    /** The size of the commands that are complete and not replied to, in bytes. */
+    private int acceptedBytes;
+
     /** The rate at which the peer sends a command. */
     private final MinimumDataRate sendRate;
 
@@ -54,6 +57,9 @@
     private long openedUs;
     private boolean handshakeComplete;
 
+    /** Whether the connection is being closed for the memory that it held. */
+    private boolean discarded;
+
     /** Whether a command is being handled or its reply is being written. */
     private boolean commandInProgress;
 
@@ -100,7 +106,7 @@
 
     @Override
     protected void received(ByteBuffer bytes) {
-        if (commandInProgress) {
+        if (commandInProgress || discarded) {
             return; // pipelined bytes stay unread, which bounds the memory for a peer
         }
         byte[] data = new byte[bytes.remaining()];
@@ -110,19 +116,57 @@
             closeWithError("a line too long");
             return;
         }
-        faktory.addBufferedBytes(decoder.unfinishedBytes() - incompleteBytes);
+        int completeBytes = incompleteBytes + data.length - decoder.unfinishedBytes();
         incompleteBytes = decoder.unfinishedBytes();
+        faktory.commandMemory().setIncomplete(this, incompleteBytes, faktory.loop().nowUs());
         measureSending(data.length, !lines.isEmpty());
-        if (incompleteBytes > ALWAYS_ACCEPTED_BYTES && faktory.bufferedBytes() > maxBuffered()) {
-            closeWithError("too much is being sent here at once; come back in a moment");
+        if (!lines.isEmpty() && !accept(completeBytes)) {
+            closeForMemory();
             return;
         }
-        pendingLines.addAll(lines);
-        handleNext();
+        faktory.enforceCommandMemory();
+        if (!discarded) {
+            pendingLines.addAll(lines);
+            handleNext();
+        }
+    }
+
+    /** Accepts complete commands of this size, unless all commands hold too much memory. */
+    private boolean accept(int bytes) {
+        if (bytes <= ALWAYS_ACCEPTED_BYTES) {
+            return true;
+        }
+        boolean accepted = faktory.commandMemory().tryAccept(bytes);
+        acceptedBytes += accepted ? bytes : 0;
+        return accepted;
+    }
+
+    private void releaseAccepted() {
+        faktory.commandMemory().release(acceptedBytes);
+        acceptedBytes = 0;
+    }
+
+    /** Closes the connection since all commands together hold too much memory. */
+    void discardIncomplete() {
+        if (commandInProgress) { // an error now would pass for its reply
+            closeNow();
+        } else {
+            closeForMemory();
+        }
     }
 
-    private static long maxBuffered() {
-        return Runtime.getRuntime().maxMemory() / HEAP_DIVISOR;
+    private void closeForMemory() {
+        forgetIncomplete();
+        discarded = true;
+        discardReadAhead();
+        write(() -> {}, Reply.error(OUT_OF_MEMORY));
+        closeAfterWrites();
+    }
+
+    private void forgetIncomplete() {
+        faktory.commandMemory().removeIncomplete(this);
+        decoder.takeUnfinished();
+        incompleteBytes = 0;
     }
 
     /**
@@ -165,8 +209,7 @@
             return;
         }
         if (readRate.isTooSlow(nowUs)) {
-            faktory.recordSlowPeer(this, Count.SLOW_READERS_LET_GO, "does not read its replies");
-            closeNow();
+            closeSlowReader("does not read its replies");
         } else if (sendRate.isTooSlow(nowUs) && !commandInProgress) {
             faktory.recordSlowPeer(
                     this,
@@ -176,6 +219,18 @@
         }
     }
 
+    /** Closes the connection of a peer that does not read its replies. */
+    void closeSlowReader(String behaviour) {
+        faktory.recordSlowPeer(this, Count.SLOW_READERS_LET_GO, behaviour);
+        closeNow();
+    }
+
+    /** Returns the size of the replies that the peer has not read, and how fast it reads. */
+    BufferBudget.Usage<FaktoryConnection> replyUsage() {
+        long nowUs = faktory.loop().nowUs();
+        return new BufferBudget.Usage<>(this, backlogBytes(), readRate.bytesPerSecond(nowUs));
+    }
+
     /**
      * Handles the next command, only one per task of the event loop. Otherwise all commands of a
      * peer that pipelines thousands of them, and whose replies can be written immediately, would be
@@ -218,6 +273,7 @@
         }
         handleNext();
         if (!commandInProgress && pendingLines.isEmpty()) {
+            releaseAccepted();
             resumeReading();
         }
     }
@@ -248,6 +304,9 @@
                     faktory.loop().execute(this::replied);
                 },
                 reply);
+        if (!isClosed() && backlogBytes() > 0) {
+            faktory.enforceReplyMemory();
+        }
     }
 
     /** Sends an error, then closes the connection. */
@@ -261,8 +320,8 @@
 
     @Override
     protected void connectionClosed() {
-        faktory.addBufferedBytes(-incompleteBytes);
-        incompleteBytes = 0;
+        forgetIncomplete();
+        releaseAccepted();
         faktory.connectionClosed(this);
     }
 }
--- a/src/main/java/damsonslip/platform/client/ClientConnection.java
+++ b/src/main/java/damsonslip/platform/client/ClientConnection.java
@@ -71,6 +71,9 @@
     /** The request in state {@link ClientConnectionState#PROCESSING}, else null. */
     private RequestContext context;
 
+    /** The memory of the request's body while the engine has the request, in bytes. */
+    private int acceptedBytes;
+
     /** Whether the connection is closed after the current response. */
     private boolean closing;
 
@@ -121,6 +124,7 @@
             if (!RequestReader.mayBeginRequest(bytes)) {
                 throw BadRequestException.longerThanAnnounced();
             }
+            server.requestMemory().setIncomplete(this, bytes.remaining(), loop.nowUs());
             handle(request, arrival);
         } catch (BadRequestException e) {
             reject(e);
@@ -128,12 +132,14 @@
     }
 
     private void awaitRest() {
+        server.requestMemory().setIncomplete(this, reader.incompleteBytes(), loop.nowUs());
         if (reader.takeExpectContinue()) {
             write(() -> {}, ClientResponse.encodeContinue());
         }
         if (reader.isMidRequest() && requestTimer == null) {
             startRequestTimer();
         }
+        server.enforceRequestMemory();
     }
 
     /**
@@ -142,22 +148,51 @@
      */
     private void checkPipelined(ByteBuffer bytes) {
         boolean isRequest = RequestReader.mayBeginRequest(bytes);
-        if (isRequest && bytes.remaining() < MAX_PIPELINED_BYTES) {
+        server.requestMemory().setIncomplete(this, bytes.remaining(), loop.nowUs());
+        if (isRequest && bytes.remaining() < maxPipelinedBytes()) {
             return;
         }
         if (context == null && receivedRequest == null) { // its response is being written already
             closing |= !isRequest;
             return;
         }
+        rejectPipelined(
+                isRequest
+                        ? BadRequestException.pipelinedTooMuch()
+                        : BadRequestException.longerThanAnnounced());
+    }
+
+    /** Less than usual while all clients together hold too much memory. */
+    private int maxPipelinedBytes() {
+        return server.requestMemory().isExceeded()
+                ? WireFormat.MAX_HEADER_BYTES
+                : MAX_PIPELINED_BYTES;
+    }
+
+    /** Rejects the current request because of the bytes after it. */
+    private void rejectPipelined(BadRequestException reason) {
         if (context != null) {
             server.engine().clientDisconnected(context);
         }
         context = null;
         receivedRequest = null;
-        reject(
-                isRequest
-                        ? BadRequestException.pipelinedTooMuch()
-                        : BadRequestException.longerThanAnnounced());
+        reject(reason);
+    }
+
+    /**
+     * Gives up what the client has sent and no response is owed for yet, since all clients together
+     * hold too much memory.
+     */
+    void discardIncomplete() {
+        server.requestMemory().removeIncomplete(this);
+        switch (state) {
+            case RECEIVING -> {
+                stopRequestTimer();
+                reject(BadRequestException.outOfMemory());
+            }
+            case RECEIVED, PROCESSING -> rejectPipelined(BadRequestException.pipelinedTooMuch());
+            case ADMITTING, RESPONDING -> closeAfterResponse();
+        }
     }
 
     private void handle(HttpRequest request, ArrivalTime arrival) throws BadRequestException {
@@ -168,8 +203,13 @@
                     respond(ClientResponse.expiredBeforeAdmission());
                     return;
                 }
+                if (!server.requestMemory().tryAccept(request.bodyBytes())) {
+                    throw BadRequestException.outOfMemory();
+                }
+                acceptedBytes = request.bodyBytes();
                 receivedRequest = decoded;
                 transitionTo(ClientConnectionState.RECEIVED);
+                server.enforceRequestMemory();
             }
             case HEALTH -> respond(ClientResponse.health(server.isHealthy()));
         }
@@ -216,14 +256,17 @@
      * smuggling).
      */
     private void reject(BadRequestException failure) {
-        closing = true;
+        closeAfterResponse();
         server.rejected(failure);
         respond(ClientResponse.of(failure));
     }
 
     private void respond(ClientResponse response) {
         transitionTo(ClientConnectionState.RESPONDING);
-        closing |= !reader.isPersistent() || !server.isReady();
+        releaseRequest();
+        if (!reader.isPersistent() || !server.isReady()) {
+            closeAfterResponse();
+        }
         write(this::responseWritten, response.encode(closing));
         if (!isClosed()) {
             responseMonitor.begin();
@@ -231,6 +274,19 @@
         }
     }
 
+    /** Closes the connection after the response; what the client has sent since is discarded. */
+    private void closeAfterResponse() {
+        closing = true;
+        reader.discard();
+        discardReadAhead();
+        server.requestMemory().removeIncomplete(this);
+    }
+
+    private void releaseRequest() {
+        server.requestMemory().release(acceptedBytes);
+        acceptedBytes = 0;
+    }
+
     private void responseWritten() {
         responseMonitor.end();
         if (closing) {
@@ -309,7 +365,7 @@
     }
 
     private void rejectIncomplete() {
-        closing = true;
+        closeAfterResponse();
         stopRequestTimer();
         respond(ClientResponse.draining());
     }
@@ -357,6 +413,9 @@
     protected void connectionClosed() {
         responseMonitor.end();
         stopRequestTimer();
+        releaseRequest();
+        reader.discard();
+        server.requestMemory().removeIncomplete(this);
         server.closed(this, closeFacts());
     }
 
--- a/src/main/java/damsonslip/platform/client/ClientServer.java
+++ b/src/main/java/damsonslip/platform/client/ClientServer.java
@@ -23,6 +23,7 @@
 import damsonslip.transport.ListeningPort;
 import damsonslip.transport.OutboundRateMonitor;
 import damsonslip.transport.datarate.BufferBudget;
+import damsonslip.transport.datarate.SharedBufferLimit;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.List;
@@ -42,6 +43,15 @@
     /** Unread responses may together hold one part in this many of the heap. */
     private static final int RESPONSE_HEAP_DIVISOR = 8;
 
+    /**
+     * What clients have sent and no response was given for may together hold one part in this many
+     * of the heap.
+     */
+    private static final int REQUEST_HEAP_DIVISOR = 4;
+
+    /** Hundreds of clients may exceed the limit at once; a line for each would flood the log. */
+    private static final long MEMORY_LOG_INTERVAL_US = 1_000_000;
+
     /** How often connections are checked while they are drained. */
     private static final long DRAIN_INTERVAL_US = 50_000;
 
@@ -52,7 +62,10 @@
     private final LifecyclePhase phase;
     private final Counters counters;
     private final ConnectionLimiter<ClientConnection> limiter;
+    private final SharedBufferLimit<ClientConnection> requestMemory =
+            SharedBufferLimit.partOfHeap(REQUEST_HEAP_DIVISOR);
     private final RecentRequestIds recentIds = new RecentRequestIds();
+    private long nextMemoryLogUs;
     private long latestDeadlineUs = Long.MAX_VALUE;
 
     /** The rule by which connections are drained, or null. */
@@ -199,6 +212,36 @@
         latestDeadlineUs = Math.min(latestDeadlineUs, latestUs);
     }
 
+    /** The memory that all clients' requests hold. */
+    SharedBufferLimit<ClientConnection> requestMemory() {
+        return requestMemory;
+    }
+
+    /**
+     * Discards incomplete requests if all requests together hold too much memory. Not called while
+     * a request is being submitted to the engine.
+     */
+    void enforceRequestMemory() {
+        List<ClientConnection> excess = requestMemory.chooseExcess(loop().nowUs());
+        if (!excess.isEmpty()) {
+            logRequestMemory(excess.size());
+            excess.forEach(ClientConnection::discardIncomplete);
+        }
+    }
+
+    private void logRequestMemory(int connectionCount) {
+        long nowUs = loop().nowUs();
+        if (nowUs >= nextMemoryLogUs) {
+            nextMemoryLogUs = nowUs + MEMORY_LOG_INTERVAL_US;
+            LOG.warn(
+                    "event=request_memory_exceeded connections={} held_bytes={} requests that are"
+                            + " not complete hold more than their part of the heap; rejecting those"
+                            + " that have held the most for the longest time",
+                    connectionCount,
+                    requestMemory.heldBytes());
+        }
+    }
+
     /**
      * Bounds the total memory that unread responses hold; checked when another response could not
      * be written at once.
--- a/src/main/java/damsonslip/platform/codec/BadRequestException.java
+++ b/src/main/java/damsonslip/platform/codec/BadRequestException.java
@@ -29,6 +29,11 @@
         return new BadRequestException(400, "too much sent ahead of its answer");
     }
 
+    /** All clients together hold too much memory; it is harmless to send the request again. */
+    public static BadRequestException outOfMemory() {
+        return new BadRequestException(503, "throttled");
+    }
+
     /** An id that another request has, or has had recently. */
     public static BadRequestException duplicateId(String id) {
         return new BadRequestException(409, "this id was used already: " + id);
--- a/src/main/java/damsonslip/platform/codec/HttpRequest.java
+++ b/src/main/java/damsonslip/platform/codec/HttpRequest.java
@@ -63,6 +63,11 @@
         return body;
     }
 
+    /** The size of the body. */
+    public int bodyBytes() {
+        return body.length;
+    }
+
     /** The value of a header field; null if the request has none of this name. */
     String header(String name) {
         return headers.get(HttpMessageReader.lowerCase(name));
--- a/src/main/java/damsonslip/platform/codec/RequestReader.java
+++ b/src/main/java/damsonslip/platform/codec/RequestReader.java
@@ -1,6 +1,5 @@
 package damsonslip.platform.codec;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
@@ -16,7 +15,6 @@
             Arrays.stream(HttpMethod.values()).map(m -> m.asString() + " ").toList();
     private static final int LONGEST_METHOD =
             METHODS.stream().mapToInt(String::length).max().orElseThrow();
-    private static final int INITIAL_BODY_BYTES = 256;
 
     /** Header fields that may occur only once: a repeated one makes the request ambiguous. */
     private static final Set<String> UNIQUE_HEADERS =
@@ -32,7 +30,11 @@
 
     private final HttpMessageReader reader =
             new HttpMessageReader(HttpMessageReader.MessageKind.REQUEST, new RequestParts());
-    private ByteArrayOutputStream body = new ByteArrayOutputStream(INITIAL_BODY_BYTES);
+    private final BodyBuffer body = new BodyBuffer(WireFormat.MAX_BODY_BYTES);
+
+    /** The bytes of the current request that were read: its head and its body. */
+    private int readBytes;
+
     private String method;
     private String target;
     private boolean expectsContinue;
@@ -46,13 +48,25 @@
      *     has to be closed after the response
      */
     public HttpRequest read(ByteBuffer bytes) throws BadRequestException {
+        int before = bytes.remaining();
         boolean complete = reader.read(bytes);
+        readBytes += before - bytes.remaining();
         if (failure != null) {
             throw failure;
         }
-        return complete
-                ? new HttpRequest(method, target, reader.headers(), body.toByteArray())
-                : null;
+        return complete ? new HttpRequest(method, target, reader.headers(), body.take()) : null;
+    }
+
+    /** The memory that an incomplete request holds, in bytes; 0 if none has begun. */
+    public int incompleteBytes() {
+        return isMidRequest() ? readBytes - body.size() + body.capacity() : 0;
+    }
+
+    /** Releases the memory of a request that is not read any further. */
+    public void discard() {
+        reader.stop();
+        body.clear();
+        readBytes = 0;
     }
 
     /** Whether these bytes can be the beginning of a request, as far as they have arrived. */
@@ -87,7 +101,8 @@
     /** Prepares for the next request. */
     public void reset() {
         reader.reset();
-        body = new ByteArrayOutputStream(INITIAL_BODY_BYTES);
+        body.clear();
+        readBytes = 0;
     }
 
     private final class RequestParts implements HttpMessageReader.Listener {
@@ -115,13 +130,9 @@
 
         @Override
         public void content(ByteBuffer part) {
-            if (body.size() + part.remaining() > WireFormat.MAX_BODY_BYTES) {
+            if (!body.append(part, reader.contentLength())) {
                 fail(413, "body too large");
-                return;
             }
-            byte[] bytes = new byte[part.remaining()];
-            part.get(bytes);
-            body.writeBytes(bytes);
         }
 
         @Override
--- a/src/main/java/damsonslip/platform/worker/WorkerConnection.java
+++ b/src/main/java/damsonslip/platform/worker/WorkerConnection.java
@@ -58,7 +58,8 @@
             ConnectionPool pool,
             InFlightAttempts attempts,
             SchedulerEngine engine,
-            WorkerStatistics statistics) {}
+            WorkerStatistics statistics,
+            ResponseMemory responseMemory) {}
 
     /** A probe whose response is awaited. */
     private record Probe(ProbeResult resultIfOk, EventLoop.Timer timeout) {}
@@ -289,6 +290,9 @@
             return;
         }
         complete.forEach(this::lineReceived);
+        if (!isClosed()) {
+            owner.responseMemory().incompleteLine(this, lines.unfinishedBytes());
+        }
     }
 
     private void lineReceived(String line) {
@@ -330,6 +334,7 @@
         }
         transition(Event.RESPONSE_COMPLETED);
         lines.takeUnfinished();
+        owner.responseMemory().lineEnded(this);
         if (reusable) {
             idleSinceUs = loop.nowUs();
             owner.pool().release(this);
@@ -400,6 +405,8 @@
     protected void connectionClosed() {
         uploadMonitor.end();
         stopResponseEndTimer();
+        lines.takeUnfinished();
+        owner.responseMemory().lineEnded(this);
         if (attempt != null) {
             owner.attempts().checkEndsAfterClose(attempt);
         }
--- a/src/main/java/damsonslip/platform/worker/WorkerConnector.java
+++ b/src/main/java/damsonslip/platform/worker/WorkerConnector.java
@@ -30,6 +30,7 @@
     private final InFlightAttempts attempts;
     private final SchedulerEngine engine;
     private final WorkerStatistics statistics;
+    private final ResponseMemory responseMemory;
 
     /** Connects that have neither succeeded nor failed, the oldest first. */
     private final Set<PendingConnect> pending = new LinkedHashSet<>();
@@ -48,6 +49,7 @@
         this.attempts = attempts;
         this.engine = engine;
         this.statistics = statistics;
+        this.responseMemory = new ResponseMemory(connections.loop());
         this.maxConnections = Math.max(MIN_CONNECTIONS, maxConnections);
     }
 
@@ -118,7 +120,7 @@
                     endPoint,
                     connections.loop(),
                     worker,
-                    new WorkerConnection.Owner(pool, attempts, engine, statistics),
+                    new WorkerConnection.Owner(pool, attempts, engine, statistics, responseMemory),
                     this::opened);
         }
 
--- a/src/main/java/damsonslip/transport/ConnectionReader.java
+++ b/src/main/java/damsonslip/transport/ConnectionReader.java
@@ -70,12 +70,22 @@
 
     /** Discards the buffered bytes and all that are received from now on. */
     void startDiscarding() {
-        buffer.clear();
+        discardBuffered();
         if (!connection.isFillInterested()) {
             read();
         }
     }
 
+    /** Discards the buffered bytes, and buffers only the initial size from now on. */
+    void discardBuffered() {
+        buffer.discard();
+    }
+
+    /** Releases the memory of a connection that is closed. */
+    void release() {
+        buffer.release();
+    }
+
     /** Reads until no more bytes are available, or a bound is reached. */
     void read() {
         try {
@@ -137,7 +147,7 @@
 
     /** Discards the bytes read; returns whether more may be read and discarded. */
     private boolean discard(int bytes) {
-        buffer.clear();
+        buffer.discard();
         discardedBytes += bytes;
         return discardedBytes <= MAX_DISCARDED_BYTES;
     }
--- a/src/main/java/damsonslip/transport/EventLoopConnection.java
+++ b/src/main/java/damsonslip/transport/EventLoopConnection.java
@@ -118,9 +118,19 @@
         if (changeTo(ConnectionState.CLOSED)) {
             getEndPoint().close();
             connectionClosed();
+            releaseBuffers();
         }
     }
 
+    /**
+     * Releases what a closed connection holds: timers may refer to it for a while, and as many as
+     * are opened and closed in that time would fill the heap.
+     */
+    private void releaseBuffers() {
+        reader.release();
+        writes.release();
+    }
+
     /** Closes the connection after an error or a close by its peer. */
     final void closeAsLost() {
         if (changeTo(ConnectionState.CLOSED)) {
@@ -128,6 +138,7 @@
             getEndPoint().close();
             connectionClosed();
             connectionLost();
+            releaseBuffers();
         }
     }
 
@@ -203,6 +214,14 @@
         reader.resume();
     }
 
+    /**
+     * Discards what was read and not consumed, and reads ahead as little as possible from now on:
+     * the subclass consumes nothing more before it closes the connection.
+     */
+    protected final void discardReadAhead() {
+        reader.discardBuffered();
+    }
+
     final void recordProgress(long amount) {
         progress += amount;
     }
--- a/src/main/java/damsonslip/transport/ReadBuffer.java
+++ b/src/main/java/damsonslip/transport/ReadBuffer.java
@@ -10,7 +10,7 @@
 final class ReadBuffer {
     static final int INITIAL_BYTES = 8 * 1024;
 
-    private final int maxBytes;
+    private int maxBytes;
     private ByteBuffer bytes = BufferUtil.allocate(INITIAL_BYTES);
 
     /**
@@ -31,9 +31,17 @@
         return BufferUtil.isEmpty(bytes);
     }
 
-    /** Discards all bytes. */
-    void clear() {
+    /** Discards all bytes, and shrinks the buffer to its initial size for good. */
+    void discard() {
+        maxBytes = INITIAL_BYTES;
         BufferUtil.clear(bytes);
+        reclaimIfEmpty();
+    }
+
+    /** Releases the memory; there is no space in the buffer any more. */
+    void release() {
+        maxBytes = 0;
+        bytes = BufferUtil.EMPTY_BUFFER;
     }
 
     /**
--- a/src/main/java/damsonslip/transport/WriteQueue.java
+++ b/src/main/java/damsonslip/transport/WriteQueue.java
@@ -65,6 +65,12 @@
         full = full || backlogBytes() > HIGH_WATERMARK_BYTES;
     }
 
+    /** Releases the memory of a connection that is closed. */
+    void release() {
+        queue.clear();
+        current = List.of();
+    }
+
     /** Whether a message is being written. */
     boolean isWriting() {
         return writing;
--- a/src/test/java/damsonslip/testkit/FaktoryServer.java
+++ b/src/test/java/damsonslip/testkit/FaktoryServer.java
@@ -79,6 +79,11 @@
 
     /** Starts one more scheduler, of another name, on another port, with the same store. */
     public Program start(int at, String name) throws IOException {
+        return start(at, name, List.of());
+    }
+
+    /** As {@link #start(int, String)}, with additional JVM options. */
+    public Program start(int at, String name, List<String> jvmOptions) throws IOException {
         String text = replace(settings(at, store, replacements), "127.0.0.1:7420", "");
         text =
                 replace(
@@ -86,7 +91,7 @@
                         "\"school-desk\"",
                         "\"" + name + "\"");
         Program started =
-                new Program(null, "serve", Program.file(dir, text).toString())
+                new Program(null, jvmOptions, "serve", Program.file(dir, text).toString())
                         .awaitOutput("taken up from the store");
         return closing(started);
     }
