--- a/src/main/java/damsonslip/faktory/FaktoryServices.java
+++ b/src/main/java/damsonslip/faktory/FaktoryServices.java
@@ -37,7 +37,7 @@
         this.config = config;
         this.store = store;
         int classCount = config.site().classNames().size();
-        JobTable jobTable = new JobTable(classCount, config.jobLimits());
+        JobTable jobTable = new JobTable(classCount, config.jobLimits(), loop.startedUs());
         JobLifecycle lifecycle = new JobLifecycle(loop, config.site(), store, counters, jobTable);
         this.reservations = new Reservations(loop, engine, store, counters, lifecycle);
         this.workers = new WorkerRegistry(loop, config.site(), engine, store, reservations);
--- a/src/main/java/damsonslip/faktory/Recovery.java
+++ b/src/main/java/damsonslip/faktory/Recovery.java
@@ -64,6 +64,7 @@
      * accepted either.
      */
     void start() {
+        coordinator.jobTable().beginRecovery();
         loadPausedQueues();
     }
 
@@ -100,6 +101,7 @@
 
     private void loadJobs(List<String> ids, int from) {
         if (from >= ids.size()) {
+            coordinator.jobTable().endRecovery();
             LOG.info("event=jobs_recovered {} jobs taken up from the store", recoveredJobs);
             onCompletion.run();
             return;
@@ -115,8 +117,8 @@
     }
 
     private void recover(JobRecord record) {
-        if (coordinator.jobTable().get(record.id()) != null) {
-            return; // pushed or reported on since the start
+        if (!coordinator.jobTable().mayRecover(record.id())) {
+            return; // pushed since the start, and perhaps ended
         }
         recoveredJobs++;
         int jobClass = classOf(record.options());
--- a/src/main/java/damsonslip/faktory/jobs/JobQueues.java
+++ b/src/main/java/damsonslip/faktory/jobs/JobQueues.java
@@ -16,17 +16,30 @@
  * job class, ordered by priority and then by arrival. Not thread-safe.
  */
 final class JobQueues {
-    /** Exclusive upper bound of the priorities, the highest of which is 9 in the protocol. */
-    private static final int PRIORITY_BOUND = 10;
-
     /**
-     * The low bits of a class queue's sort key hold the sequence number; the bits above them hold
-     * the inverted priority.
+     * A job's place in its class queue: the highest priority first, then the order of arrival. Two
+     * jobs in the store may have the same sequence number, since schedulers of earlier versions
+     * began at 1 again with each start; their ids keep them apart.
      */
-    private static final int SEQUENCE_BITS = 56;
+    private record Position(int priority, long sequence, String id)
+            implements Comparable<Position> {
+        static Position of(JobRecord record) {
+            return new Position(record.options().priority(), record.sequence(), record.id());
+        }
+
+        @Override
+        public int compareTo(Position other) {
+            int byPriority = Integer.compare(other.priority, priority);
+            if (byPriority != 0) {
+                return byPriority;
+            }
+            int bySequence = Long.compare(sequence, other.sequence);
+            return bySequence != 0 ? bySequence : id.compareTo(other.id);
+        }
+    }
 
     /** By class, then by queue name. */
-    private final List<Map<String, TreeMap<Long, JobEntry>>> classQueues = new ArrayList<>();
+    private final List<Map<String, TreeMap<Position, JobEntry>>> classQueues = new ArrayList<>();
 
     /** The number of jobs in each queue, dispatched ones included. */
     private final Map<String, Integer> sizes = new TreeMap<>();
@@ -50,8 +63,9 @@
         String queue = entry.record().options().queue();
         sizes.merge(queue, 1, Integer::sum);
         if (!entry.isDispatched()) {
-            Map<String, TreeMap<Long, JobEntry>> queues = classQueues.get(entry.jobClass());
-            queues.computeIfAbsent(queue, name -> new TreeMap<>()).put(sortKey(entry), entry);
+            Map<String, TreeMap<Position, JobEntry>> queues = classQueues.get(entry.jobClass());
+            queues.computeIfAbsent(queue, name -> new TreeMap<>())
+                    .put(Position.of(entry.record()), entry);
         }
     }
 
@@ -68,9 +82,9 @@
     }
 
     private void removeFromClassQueue(JobEntry entry, String queue) {
-        Map<String, TreeMap<Long, JobEntry>> queues = classQueues.get(entry.jobClass());
-        TreeMap<Long, JobEntry> classQueue = queues.get(queue);
-        if (classQueue == null || classQueue.remove(sortKey(entry)) == null) {
+        Map<String, TreeMap<Position, JobEntry>> queues = classQueues.get(entry.jobClass());
+        TreeMap<Position, JobEntry> classQueue = queues.get(queue);
+        if (classQueue == null || classQueue.remove(Position.of(entry.record())) == null) {
             return;
         }
         if (classQueue.isEmpty()) {
@@ -79,12 +93,6 @@
         }
     }
 
-    private static long sortKey(JobEntry entry) {
-        JobRecord record = entry.record();
-        long invertedPriority = PRIORITY_BOUND - record.options().priority();
-        return invertedPriority << SEQUENCE_BITS | record.sequence();
-    }
-
     /** Selects the next job; see {@link JobTable#next}. */
     JobEntry next(List<String> queues, boolean fair, long nowMs, IntPredicate mayDispatch) {
         for (String queue : fair ? leastRecentlyServedFirst(queues) : queues) {
@@ -108,25 +116,26 @@
      * be dispatched. The head of a class blocks the jobs behind it while it is delayed.
      */
     private JobEntry first(String queue, long nowMs, IntPredicate mayDispatch) {
-        JobEntry found = null;
-        long lowestKey = Long.MAX_VALUE;
+        Map.Entry<Position, JobEntry> found = null;
         for (int jobClass = 0; jobClass < classQueues.size(); jobClass++) {
-            TreeMap<Long, JobEntry> classQueue = classQueues.get(jobClass).get(queue);
-            if (classQueue != null
-                    && classQueue.firstKey() < lowestKey
+            TreeMap<Position, JobEntry> classQueue = classQueues.get(jobClass).get(queue);
+            if (classQueue == null) {
+                continue;
+            }
+            Map.Entry<Position, JobEntry> head = classQueue.firstEntry();
+            if ((found == null || head.getKey().compareTo(found.getKey()) < 0)
                     && mayDispatch.test(jobClass)
-                    && classQueue.firstEntry().getValue().notBeforeMs() <= nowMs) {
-                lowestKey = classQueue.firstKey();
-                found = classQueue.firstEntry().getValue();
+                    && head.getValue().notBeforeMs() <= nowMs) {
+                found = head;
             }
         }
-        return found;
+        return found == null ? null : found.getValue();
     }
 
     /** The jobs of a queue that are not dispatched. */
     List<JobEntry> waitingIn(String queue) {
         List<JobEntry> found = new ArrayList<>();
-        for (Map<String, TreeMap<Long, JobEntry>> queues : classQueues) {
+        for (Map<String, TreeMap<Position, JobEntry>> queues : classQueues) {
             found.addAll(queues.getOrDefault(queue, new TreeMap<>()).values());
         }
         return found;
--- a/src/main/java/damsonslip/faktory/jobs/JobTable.java
+++ b/src/main/java/damsonslip/faktory/jobs/JobTable.java
@@ -4,6 +4,7 @@
 import damsonslip.store.JobRecord.State;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -41,14 +42,44 @@
     private int dispatchedCount;
     private long lastSequence;
 
+    /** The ids of jobs that were removed during the recovery from the store. */
+    private final Set<String> removedDuringRecovery = new HashSet<>();
+
+    private boolean recovering;
+
     /**
      * Creates an empty table.
      *
      * @param classes the number of job classes
+     * @param sequenceBase the number after which this process's sequence begins. It has to be
+     *     greater than those that earlier processes gave, since jobs are pushed before all of the
+     *     earlier ones are recovered
      */
-    public JobTable(int classes, Limits limits) {
+    public JobTable(int classes, Limits limits, long sequenceBase) {
         this.limits = limits;
         this.queues = new JobQueues(classes);
+        this.lastSequence = sequenceBase;
+    }
+
+    /**
+     * Begins the recovery of jobs from the store; other jobs may be added and removed meanwhile.
+     */
+    public void beginRecovery() {
+        recovering = true;
+    }
+
+    /** Ends the recovery. */
+    public void endRecovery() {
+        recovering = false;
+        removedDuringRecovery.clear();
+    }
+
+    /**
+     * Whether a job that was read from the store may be added: it is not in the table, and it was
+     * not removed since the recovery began, after which the record that was read is outdated.
+     */
+    public boolean mayRecover(String id) {
+        return !byId.containsKey(id) && !removedDuringRecovery.contains(id);
     }
 
     /** The reason why this queue accepts no further job; null if it accepts one. */
@@ -102,6 +133,7 @@
         if (byId.putIfAbsent(record.id(), entry) != null) {
             throw new IllegalArgumentException("duplicate job id: " + record.id());
         }
+        removedDuringRecovery.remove(record.id());
         lastSequence = Math.max(lastSequence, record.sequence());
         uniqueLocks.restore(record);
         addToSet(entry);
@@ -122,6 +154,9 @@
     /** Removes a job that has ended. */
     public void remove(JobEntry entry) {
         if (byId.remove(entry.id(), entry)) {
+            if (recovering) {
+                removedDuringRecovery.add(entry.id());
+            }
             removeFromSet(entry);
             uniqueLocks.unlock(entry.id(), entry.record().options());
         }
--- a/src/test/java/damsonslip/compatibility/StoredEntries.java
+++ b/src/test/java/damsonslip/compatibility/StoredEntries.java
@@ -25,6 +25,8 @@
     /** The description of a rejected job contains the measured time to wait before a retry. */
     private static final Pattern REJECTION_DELAY = Pattern.compile("after [0-9]+\\.[0-9]{3} s");
 
+    private static final Pattern SEQUENCE = Pattern.compile("\"seq\":([0-9]+)");
+
     private StoredEntries() {}
 
     static void write(Path file, List<List<String>> entries) throws IOException {
@@ -90,7 +92,7 @@
         for (List<String> entry : entries) {
             lines.add(String.join(" | ", entry).replace("\n", "\\n"));
         }
-        String text = String.join("\n", lines);
+        String text = withSequenceRanks(String.join("\n", lines));
         for (String description : List.of("open", "child", "complete", "ended")) {
             text = text.replace(batchId(entries, description), "BATCH-" + description);
         }
@@ -100,6 +102,26 @@
         return String.join("\n", text.lines().sorted().toList());
     }
 
+    /**
+     * Replaces the jobs' sequence numbers by their ranks: each process begins above the numbers of
+     * earlier ones, and only the order is saved with them.
+     */
+    private static String withSequenceRanks(String text) {
+        List<Long> ascending =
+                SEQUENCE.matcher(text)
+                        .results()
+                        .map(match -> Long.valueOf(match.group(1)))
+                        .distinct()
+                        .sorted()
+                        .toList();
+        return SEQUENCE.matcher(text)
+                .replaceAll(match -> "\"seq\":" + (rank(ascending, match.group(1)) + 1));
+    }
+
+    private static int rank(List<Long> ascending, String sequence) {
+        return ascending.indexOf(Long.valueOf(sequence));
+    }
+
     private static String mask(String text, Pattern pattern, String replacement) {
         return pattern.matcher(text).replaceAll(Matcher.quoteReplacement(replacement));
     }
--- a/src/test/java/damsonslip/faktory/jobs/BatchTableTest.java
+++ b/src/test/java/damsonslip/faktory/jobs/BatchTableTest.java
@@ -13,7 +13,7 @@
 
 /** Conditions under which the callbacks of batches become due. */
 class BatchTableTest {
-    private final JobTable jobTable = new JobTable(1, new JobTable.Limits(100, 100, 100, 1_000));
+    private final JobTable jobTable = new JobTable(1, new JobTable.Limits(100, 100, 100, 1_000), 0);
     private final BatchTable batches = new BatchTable(jobTable);
 
     private void addBatch(String bid, String parent) {
@@ -154,7 +154,7 @@
         addBatch("b", "");
         batches.commit("b");
         collectDue("b");
-        BatchTable restarted = new BatchTable(new JobTable(1, new JobTable.Limits(1, 1, 1, 1)));
+        BatchTable restarted = new BatchTable(new JobTable(1, new JobTable.Limits(1, 1, 1, 1), 0));
         batches.all().forEach(restarted::add);
         assertEquals(
                 List.of("b-complete", "b-success"),
--- a/src/test/java/damsonslip/faktory/jobs/JobTableTest.java
+++ b/src/test/java/damsonslip/faktory/jobs/JobTableTest.java
@@ -18,7 +18,7 @@
 
 /** The sets of jobs, the order of dispatch, and the limits. */
 class JobTableTest {
-    private final JobTable jobTable = new JobTable(2, new JobTable.Limits(50, 20, 3, 1_000));
+    private final JobTable jobTable = new JobTable(2, new JobTable.Limits(50, 20, 3, 1_000), 0);
 
     private JobEntry add(String id, String queue, int jobClass) {
         return jobTable.add(
@@ -166,7 +166,8 @@
         JobTable table =
                 new JobTable(
                         3,
-                        new JobTable.Limits(1_000_000, 1_000_000, 1_000_000, Long.MAX_VALUE / 2));
+                        new JobTable.Limits(1_000_000, 1_000_000, 1_000_000, Long.MAX_VALUE / 2),
+                        0);
         Map<String, JobEntry> entries = new HashMap<>();
         int ids = 0;
         for (int step = 0; step < 20_000; step++) {
@@ -249,4 +250,38 @@
                     next == null ? -1 : next.record().sequence());
         }
     }
+
+    /**
+     * Guards against the loss of a job whose place another one takes: schedulers of earlier
+     * versions gave the same numbers again after each restart.
+     */
+    @Test
+    void keepsBothOfTwoJobsWithEqualSequenceNumber() {
+        jobTable.add(RetryPolicyTest.record("b", "q", 5, 0).withSequence(7), 0);
+        jobTable.add(RetryPolicyTest.record("a", "q", 5, 0).withSequence(7), 0);
+        assertEquals("a", next(false, "q"));
+        assertEquals("b", next(false, "q"));
+        assertNull(next(false, "q"));
+    }
+
+    /** Jobs are pushed before all earlier ones are recovered, and queue up behind them. */
+    @Test
+    void ordersJobsOfThisProcessBehindThoseOfEarlierOnes() {
+        JobTable restarted = new JobTable(1, new JobTable.Limits(50, 20, 3, 1_000), 1_000);
+        JobRecord pushed = RetryPolicyTest.record("pushed", "q", 5, 0);
+        restarted.add(pushed.withSequence(restarted.nextSequence()), 0);
+        restarted.add(RetryPolicyTest.record("recovered", "q", 5, 0).withSequence(999), 0);
+        assertEquals("recovered", restarted.next(List.of("q"), false, 0, c -> true).id());
+    }
+
+    /** Guards against the return of a job that ends while its older record is being read. */
+    @Test
+    void recoversNoJobThatEndedSinceRecoveryBegan() {
+        jobTable.beginRecovery();
+        jobTable.remove(add("a1", "a", 0));
+        assertFalse(jobTable.mayRecover("a1"));
+        assertTrue(jobTable.mayRecover("a2"));
+        jobTable.endRecovery();
+        assertTrue(jobTable.mayRecover("a1"));
+    }
 }
--- a/src/test/java/damsonslip/testkit/FaktoryServer.java
+++ b/src/test/java/damsonslip/testkit/FaktoryServer.java
@@ -84,6 +84,16 @@
 
     /** As {@link #start(int, String)}, with additional JVM options. */
     public Program start(int at, String name, List<String> jvmOptions) throws IOException {
+        return startRecovery(at, name, jvmOptions).awaitOutput("taken up from the store");
+    }
+
+    /** Starts the program, and does not wait for its recovery from the store. */
+    public Program startRecovery() throws IOException {
+        program = startRecovery(port, "school-desk", List.of()).awaitOutput("event=started");
+        return program;
+    }
+
+    private Program startRecovery(int at, String name, List<String> jvmOptions) throws IOException {
         String text = replace(settings(at, store, replacements), "127.0.0.1:7420", "");
         text =
                 replace(
@@ -91,8 +101,7 @@
                         "\"school-desk\"",
                         "\"" + name + "\"");
         Program started =
-                new Program(null, jvmOptions, "serve", Program.file(dir, text).toString())
-                        .awaitOutput("taken up from the store");
+                new Program(null, jvmOptions, "serve", Program.file(dir, text).toString());
         return closing(started);
     }
 
--- a/src/test/java/damsonslip/testkit/RedisStandIn.java
+++ b/src/test/java/damsonslip/testkit/RedisStandIn.java
@@ -9,6 +9,7 @@
 import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 
 /**
@@ -27,6 +28,7 @@
     private final Map<String, Map<String, String>> hashes = new TreeMap<>();
     private Peer.Server server;
     private volatile Trap trap;
+    private volatile HeldReply held;
     private volatile boolean errors;
     private volatile long stalledUntil;
 
@@ -50,6 +52,41 @@
         return triggered;
     }
 
+    /** A command whose reply, like all later ones, is held back until it is released. */
+    public static final class HeldReply {
+        private final Predicate<List<String>> matches;
+        private final CountDownLatch executed = new CountDownLatch(1);
+        private final CountDownLatch released = new CountDownLatch(1);
+
+        private HeldReply(Predicate<List<String>> matches) {
+            this.matches = matches;
+        }
+
+        /** Waits until the command has been executed; returns whether it has within this time. */
+        public boolean awaitExecution(long seconds) throws InterruptedException {
+            return executed.await(seconds, TimeUnit.SECONDS);
+        }
+
+        public void release() {
+            released.countDown();
+        }
+    }
+
+    /** Executes the next matching command, and holds its reply back. */
+    public HeldReply holdNext(Predicate<List<String>> matches) {
+        held = new HeldReply(matches);
+        return held;
+    }
+
+    private void holdIfMatched(List<String> words) throws InterruptedException {
+        HeldReply current = held;
+        if (current != null && current.matches.test(words)) {
+            held = null;
+            current.executed.countDown();
+            current.released.await();
+        }
+    }
+
     /** Stores a string directly, without a protocol command. */
     public synchronized void put(String key, String text) {
         strings.put(key, text);
@@ -144,10 +181,12 @@
                                 if (handledByTrap(words)) {
                                     return;
                                 }
-                                peer.send(
+                                String reply =
                                         errors
                                                 ? "-ERR this stand-in was told to fail\r\n"
-                                                : answer(words));
+                                                : answer(words);
+                                holdIfMatched(words);
+                                peer.send(reply);
                             }
                         });
     }
