--- a/src/main/java/damsonslip/faktory/BatchCommands.java
+++ b/src/main/java/damsonslip/faktory/BatchCommands.java
@@ -9,7 +9,6 @@
 import damsonslip.faktory.jobs.Batch;
 import damsonslip.faktory.jobs.BatchTable;
 import damsonslip.faktory.jobs.CallbackState;
-import damsonslip.store.AsyncStore;
 import java.util.Arrays;
 import java.util.UUID;
 
@@ -21,13 +20,11 @@
     /** The number of hexadecimal digits in the id of a new batch. */
     private static final int ID_DIGITS = 16;
 
-    private final AsyncStore store;
     private final JobFactory jobFactory;
     private final BatchService service;
     private final BatchTable batches;
 
-    BatchCommands(AsyncStore store, JobFactory jobFactory, BatchService service) {
-        this.store = store;
+    BatchCommands(JobFactory jobFactory, BatchService service) {
         this.jobFactory = jobFactory;
         this.service = service;
         this.batches = service.batches();
@@ -56,13 +53,16 @@
                         CallbackState.NOT_YET,
                         CallbackState.NOT_YET,
                         service.nowMs());
-        store.submit(
-                BatchService.putOperation(batch),
-                done -> {
+        service.write(
+                batch,
+                () -> {
                     batches.add(batch);
                     connection.reply(Reply.bulk(batch.bid()));
                 },
-                () -> replyError(connection, "the store is down and there is no new batch"));
+                () -> {
+                    service.delete(batch.bid()); // the store may have it
+                    replyError(connection, "the store is down and there is no new batch");
+                });
     }
 
     private static String newId() {
@@ -112,9 +112,9 @@
             replyError(connection, unavailableReason(bid));
             return;
         }
-        store.submit(
-                BatchService.putOperation(batch),
-                done -> connection.reply(Reply.bulk(bid)),
+        service.write(
+                batch,
+                () -> connection.reply(Reply.bulk(bid)),
                 () -> replyError(connection, "the store is down"));
     }
 
@@ -125,19 +125,27 @@
             replyError(connection, "no such batch: " + bid);
             return;
         }
-        store.submit(
-                BatchService.putOperation(batch),
-                done -> {
+        service.write(
+                batch,
+                () -> {
                     connection.reply(Reply.ok());
                     service.pushDueCallbacks(bid);
                 },
                 () -> {
-                    batches.open(bid);
+                    reopen(bid);
                     String message = "the store is down and batch " + bid + " is not committed";
                     replyError(connection, message);
                 });
     }
 
+    /** Takes back a commit that the store may or may not have recorded. */
+    private void reopen(String bid) {
+        Batch reopened = batches.open(bid);
+        if (reopened != null) {
+            service.write(reopened);
+        }
+    }
+
     /** Handles BATCH STATUS, whose reply is the batch's state as JSON. */
     void status(FaktoryConnection connection, String bid) {
         Batch batch = batches.get(bid);
--- a/src/main/java/damsonslip/faktory/BatchService.java
+++ b/src/main/java/damsonslip/faktory/BatchService.java
@@ -7,7 +7,6 @@
 import damsonslip.faktory.jobs.DueCallback;
 import damsonslip.store.AsyncStore;
 import damsonslip.store.JobRecord;
-import damsonslip.store.StoreOperation;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -97,25 +96,21 @@
         }
     }
 
-    /** Returns the operation that records a batch in the store. */
-    static StoreOperation.PutMetadata putOperation(Batch batch) {
-        try {
-            String text = Json.MAPPER.writeValueAsString(batch);
-            return new StoreOperation.PutMetadata(METADATA_KIND, batch.bid(), text);
-        } catch (JsonProcessingException e) {
-            throw new IllegalStateException("batch cannot be serialized: " + batch.bid(), e);
-        }
+    /** Records a batch in the store, repeating that until the store has it. */
+    void write(Batch batch) {
+        store.putMetadata(METADATA_KIND, batch.bid(), encode(batch));
     }
 
-    /** Records a batch; a retry writes the state that is then the newest. */
-    private void write(Batch batch) {
-        store.submit(putOperation(batch), done -> {}, () -> rewrite(batch.bid()));
+    /** As {@link #write(Batch)}; one of the callbacks is called after the first attempt. */
+    void write(Batch batch, Runnable onSuccess, Runnable onFailure) {
+        store.putMetadata(METADATA_KIND, batch.bid(), encode(batch), onSuccess, onFailure);
     }
 
-    private void rewrite(String bid) {
-        Batch newest = batches.get(bid);
-        if (newest != null) {
-            store.submitWithRetry(putOperation(newest));
+    private static String encode(Batch batch) {
+        try {
+            return Json.MAPPER.writeValueAsString(batch);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("batch cannot be serialized: " + batch.bid(), e);
         }
     }
 
@@ -150,7 +145,8 @@
         batches.clear();
     }
 
-    private void delete(String bid) {
-        store.submitWithRetry(new StoreOperation.PutMetadata(METADATA_KIND, bid, null));
+    /** Deletes a batch from the store. */
+    void delete(String bid) {
+        store.putMetadata(METADATA_KIND, bid, null);
     }
 }
--- a/src/main/java/damsonslip/faktory/FaktoryServices.java
+++ b/src/main/java/damsonslip/faktory/FaktoryServices.java
@@ -57,7 +57,7 @@
         JobFactory jobFactory = new JobFactory(config, lifecycle);
         BatchCallbacks callbacks = new BatchCallbacks(loop, store, jobFactory, coordinator);
         this.batches = new BatchService(store, coordinator, callbacks);
-        this.batchCommands = new BatchCommands(store, jobFactory, batches);
+        this.batchCommands = new BatchCommands(jobFactory, batches);
         this.producers =
                 new Producers(loop, store, phase, counters, jobFactory, coordinator, batches);
         this.tracker = new JobTracker(store, lifecycle);
--- a/src/main/java/damsonslip/faktory/Producers.java
+++ b/src/main/java/damsonslip/faktory/Producers.java
@@ -18,6 +18,7 @@
 import damsonslip.store.StoreOperation;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * The producer side of the Faktory frontend: PUSH and PUSHB. A push is acknowledged once the store
@@ -147,12 +148,37 @@
     }
 
     private void add(NewJob job, CommandCallback callback) {
+        submit(
+                job,
+                new StoreOperation.Add(job.record(), job.body()),
+                existing -> added(job, existing, callback),
+                callback);
+    }
+
+    /** Replaces the record and the body of a job that was rejected and is pushed again. */
+    private void replace(NewJob job, CommandCallback callback) {
+        submit(
+                job,
+                new StoreOperation.Replace(job.record(), job.body()),
+                done -> {
+                    unconfirmed.confirm(job.id());
+                    callback.completed(accept(job.record(), job.jobClass()));
+                },
+                callback);
+    }
+
+    /** Submits the write of a push, which is attempted once: the producer repeats it on failure. */
+    private <T> void submit(
+            NewJob job,
+            StoreOperation<T> operation,
+            Consumer<T> onSuccess,
+            CommandCallback callback) {
         unconfirmed.addStarted(job.id());
         store.submit(
-                new StoreOperation.Add(job.record(), job.body()),
-                existing -> {
+                operation,
+                result -> {
                     unconfirmed.addEnded(job.id());
-                    callback.completed(added(job, existing));
+                    onSuccess.accept(result);
                 },
                 () -> {
                     unconfirmed.addEnded(job.id());
@@ -172,31 +198,29 @@
      * Called once the store has the job, from this push or an earlier one.
      *
      * @param existing the record that the store had before this push; null if there was none
-     * @return the error if the job is rejected immediately
+     * @param callback called with the error if the job is rejected immediately
      */
-    private Optional<CommandError> added(NewJob job, JobRecord existing) {
+    private void added(NewJob job, JobRecord existing, CommandCallback callback) {
         Set<JobRecord> unconfirmedRecords = unconfirmed.confirm(job.id());
-        if (existing == null) {
-            return accept(job.record(), job.jobClass());
-        }
-        if (existing.state() == JobRecord.State.REJECTED) { // a rejected job may be pushed again
-            replace(job);
-            return accept(job.record(), job.jobClass());
-        }
         boolean open = jobTable.get(job.id()) != null;
-        if (unconfirmedRecords.contains(existing) && !open) { // an earlier push had lost its result
-            return accept(existing, job.jobClass());
+        if (existing == null) {
+            callback.completed(accept(job.record(), job.jobClass()));
+        } else if (existing.state() == JobRecord.State.REJECTED && !open) {
+            replace(job, callback); // a rejected job may be pushed again
+        } else if (unconfirmedRecords.contains(existing) && !open) {
+            // an earlier push had lost its result
+            callback.completed(accept(existing, job.jobClass()));
+        } else {
+            acceptRepeated(job, open, callback);
         }
+    }
+
+    private void acceptRepeated(NewJob job, boolean open, CommandCallback callback) {
         if (!open) {
             jobTable.unlockUnique(job.id(), job.record().options());
         }
         counters.add(Count.PUSHES_REPEATED);
-        return Optional.empty();
-    }
-
-    private void replace(NewJob job) {
-        StoreOperation.Replace replace = new StoreOperation.Replace(job.record(), job.body());
-        store.submit(replace, done -> {}, () -> store.submitWithRetry(replace));
+        callback.completed(Optional.empty());
     }
 
     private Optional<CommandError> accept(JobRecord record, int jobClass) {
--- a/src/main/java/damsonslip/faktory/QueueCommands.java
+++ b/src/main/java/damsonslip/faktory/QueueCommands.java
@@ -9,7 +9,6 @@
 import damsonslip.faktory.jobs.RetryPolicy;
 import damsonslip.store.AsyncStore;
 import damsonslip.store.JobRecord;
-import damsonslip.store.StoreOperation;
 import java.util.ArrayList;
 import java.util.List;
 
@@ -74,13 +73,13 @@
 
     private void pause(String queue) {
         if (jobTable.pause(queue)) {
-            store.submitWithRetry(new StoreOperation.PutMetadata(PAUSED_KIND, queue, PAUSED_VALUE));
+            store.putMetadata(PAUSED_KIND, queue, PAUSED_VALUE);
         }
     }
 
     private void resume(String queue) {
         if (jobTable.resume(queue)) {
-            store.submitWithRetry(new StoreOperation.PutMetadata(PAUSED_KIND, queue, null));
+            store.putMetadata(PAUSED_KIND, queue, null);
         }
     }
 
@@ -112,7 +111,7 @@
             }
         }
         jobTable.paused().forEach(this::resume);
-        deleteBatch(connection, deletable, 0);
+        deleteAll(connection, deletable);
     }
 
     private void flush(JobEntry entry, List<String> deletable) {
@@ -125,25 +124,47 @@
         }
     }
 
-    private void deleteBatch(FaktoryConnection connection, List<String> ids, int from) {
-        if (from >= ids.size()) {
-            connection.reply(Reply.ok());
-            return;
+    /**
+     * Deletes jobs from the store, and replies after the first attempts. All deletes are submitted
+     * at once, so that none of them follows a later push of the same job.
+     */
+    private void deleteAll(FaktoryConnection connection, List<String> ids) {
+        Deletion deletion = new Deletion(connection);
+        for (int from = 0; from < ids.size(); from += BATCH_SIZE) {
+            int to = Math.min(ids.size(), from + BATCH_SIZE);
+            deletion.started();
+            store.delete(
+                    ids.subList(from, to), () -> deletion.ended(true), () -> deletion.ended(false));
         }
-        int to = Math.min(ids.size(), from + BATCH_SIZE);
-        store.submit(
-                new StoreOperation.Delete(ids.subList(from, to)),
-                done -> deleteBatch(connection, ids, to),
-                () -> {
-                    deleteWithRetry(ids.subList(from, ids.size()));
-                    connection.reply(Reply.error(NOT_DELETED));
-                });
+        deletion.allStarted();
     }
 
-    private void deleteWithRetry(List<String> ids) {
-        for (int from = 0; from < ids.size(); from += BATCH_SIZE) {
-            int to = Math.min(ids.size(), from + BATCH_SIZE);
-            store.submitWithRetry(new StoreOperation.Delete(ids.subList(from, to)));
+    /** The progress of the deletes of one FLUSH, each of a part of the jobs. */
+    private static final class Deletion {
+        private final FaktoryConnection connection;
+
+        /** The parts that have not ended; starting them counts as one. */
+        private int open = 1;
+
+        private boolean failed;
+
+        Deletion(FaktoryConnection connection) {
+            this.connection = connection;
+        }
+
+        void started() {
+            open++;
+        }
+
+        void allStarted() {
+            ended(true);
+        }
+
+        void ended(boolean succeeded) {
+            failed |= !succeeded;
+            if (--open == 0) {
+                connection.reply(failed ? Reply.error(NOT_DELETED) : Reply.ok());
+            }
         }
     }
 }
--- a/src/main/java/damsonslip/faktory/UnconfirmedPushes.java
+++ b/src/main/java/damsonslip/faktory/UnconfirmedPushes.java
@@ -89,7 +89,7 @@
         }
         unconfirmed.remove(jid);
         if (records.contains(found) && jobTable.get(jid) == null) {
-            store.submitWithRetry(new StoreOperation.Delete(List.of(jid)));
+            store.delete(List.of(jid)); // comes before any later push of the job
         }
     }
 
--- a/src/main/java/damsonslip/store/AsyncStore.java
+++ b/src/main/java/damsonslip/store/AsyncStore.java
@@ -3,9 +3,10 @@
 import damsonslip.engine.EventLoop;
 import damsonslip.engine.FatalErrors;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Collections;
+import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -16,8 +17,10 @@
 /**
  * Asynchronous access to a {@link JobStore} from the event loop. Operations are executed on a
  * dedicated thread in the order of submission, many in one round trip, and their results are
- * handled on the loop. At a maximum number of pending operations, which is reached while the store
- * hangs, {@link #submit} fails immediately.
+ * handled on the loop. Writes that state what is to be stored are repeated here, and nowhere else,
+ * until the store has executed them or a newer write of the same key follows; no operation on a key
+ * is executed before an earlier write of it. At a maximum number of pending operations, which is
+ * reached while the store hangs, {@link #submit} fails immediately.
  *
  * <p>Methods that submit or write are called on the event loop; the others may be called on any
  * thread.
@@ -32,12 +35,24 @@
     private static final int MAX_BATCH = 512;
 
     private static final String THREAD_NAME = "store";
+    private static final Runnable NOTHING = () -> {};
+    private static final StoreException EARLIER_WRITE_MISSING =
+            new StoreException("an earlier write of the same key is not in the store yet", null);
+
     private static final long RETRY_DELAY_US = 500_000;
     private static final long POLL_TIMEOUT_MS = 100;
     private static final long CLOSE_TIMEOUT_S = 2;
 
+    /**
+     * An operation that waits for its turn.
+     *
+     * @param repeated whether it is repeated until it succeeds
+     */
     private record Call<T>(
-            StoreOperation<T> operation, Consumer<T> onSuccess, Runnable onFailure) {}
+            StoreOperation<T> operation,
+            boolean repeated,
+            Consumer<T> onSuccess,
+            Runnable onFailure) {}
 
     private final EventLoop loop;
     private final JobStore store;
@@ -46,11 +61,8 @@
     private final AtomicInteger pending = new AtomicInteger();
     private final Thread thread = new Thread(this::runThread, THREAD_NAME);
 
-    /**
-     * The newest record of each job among the submitted writes: a failed write of an older record
-     * must not be retried after it.
-     */
-    private final Map<String, JobRecord> newest = new HashMap<>();
+    private final RepeatedWrites writes = new RepeatedWrites();
+    private final UnwrittenKeys unwritten = new UnwrittenKeys();
 
     private volatile boolean closing;
 
@@ -73,57 +85,94 @@
         return pending.get();
     }
 
-    /** Submits an operation; one of the callbacks is called later, on the loop. */
+    /**
+     * Submits an operation that is attempted once; one of the callbacks is called later, on the
+     * loop. After a failure it is unknown whether the store has executed it. It is executed only if
+     * all earlier writes of its keys are in the store.
+     */
     public <T> void submit(StoreOperation<T> operation, Consumer<T> onSuccess, Runnable onFailure) {
         if (closing || pending.get() >= MAX_PENDING) {
             loop.execute(onFailure);
             return;
         }
-        enqueue(new Call<>(operation, onSuccess, onFailure));
-    }
-
-    private void enqueue(Call<?> call) {
-        JobRecord record = call.operation().record();
-        if (record != null) {
-            newest.put(record.id(), record);
-        }
-        pending.incrementAndGet();
-        calls.add(call);
+        writes.awaitingRepeat(operation.keys()).forEach(this::repeat);
+        enqueue(new Call<>(operation, false, onSuccess, onFailure));
     }
 
-    /** Writes a record, retrying until the store has recorded it or a newer one is submitted. */
+    /** Writes a record, repeating that until the store has it or a newer write follows. */
     public void write(JobRecord record) {
-        write(record, () -> {}, () -> {});
+        write(record, NOTHING, NOTHING);
     }
 
     /** As {@link #write(JobRecord)}; one of the callbacks is called after the first attempt. */
     public void write(JobRecord record, Runnable onSuccess, Runnable onFailure) {
-        Runnable retryLater =
-                () -> {
-                    onFailure.run();
-                    if (isNewest(record)) {
-                        loop.scheduleAfter(RETRY_DELAY_US, () -> rewrite(record));
-                    }
-                };
-        enqueue(new Call<>(new StoreOperation.Put(record), done -> onSuccess.run(), retryLater));
-    }
-
-    private void rewrite(JobRecord record) {
-        if (isNewest(record)) {
-            write(record);
+        writeRepeatedly(new StoreOperation.Put(record), onSuccess, onFailure);
+    }
+
+    /**
+     * Writes a value of the metadata, or with null deletes it, repeating that until the store has
+     * it or a newer write follows.
+     */
+    public void putMetadata(String kind, String key, String value) {
+        putMetadata(kind, key, value, NOTHING, NOTHING);
+    }
+
+    /** As the other method; one of the callbacks is called after the first attempt. */
+    public void putMetadata(
+            String kind, String key, String value, Runnable onSuccess, Runnable onFailure) {
+        writeRepeatedly(new StoreOperation.PutMetadata(kind, key, value), onSuccess, onFailure);
+    }
+
+    /** Deletes jobs, repeating that until the store has done it or newer writes follow. */
+    public void delete(List<String> ids) {
+        delete(ids, NOTHING, NOTHING);
+    }
+
+    /** As the other method; one of the callbacks is called after the first attempt. */
+    public void delete(List<String> ids, Runnable onSuccess, Runnable onFailure) {
+        writeRepeatedly(new StoreOperation.Delete(List.copyOf(ids)), onSuccess, onFailure);
+    }
+
+    private void writeRepeatedly(
+            StoreOperation<Void> operation, Runnable onSuccess, Runnable onFailure) {
+        attempt(writes.begin(operation), operation, onSuccess, onFailure);
+    }
+
+    private void attempt(
+            RepeatedWrites.Write write,
+            StoreOperation<Void> operation,
+            Runnable onSuccess,
+            Runnable onFailure) {
+        enqueue(
+                new Call<>(
+                        operation,
+                        true,
+                        done -> {
+                            writes.succeeded(write);
+                            onSuccess.run();
+                        },
+                        () -> {
+                            onFailure.run(); // may submit a newer write
+                            repeatLater(write);
+                        }));
+    }
+
+    private void repeatLater(RepeatedWrites.Write write) {
+        if (writes.failed(write)) {
+            loop.scheduleAfter(RETRY_DELAY_US, () -> repeat(write));
         }
     }
 
-    @SuppressWarnings("ReferenceEquality") // two writes of a job may have equal records
-    private boolean isNewest(JobRecord record) {
-        return newest.get(record.id()) == record;
+    private void repeat(RepeatedWrites.Write write) {
+        StoreOperation<Void> operation = writes.repeat(write);
+        if (operation != null) {
+            attempt(write, operation, NOTHING, NOTHING);
+        }
     }
 
-    /** Submits an operation, retrying until the store has executed it. */
-    public void submitWithRetry(StoreOperation<?> operation) {
-        Runnable retryLater =
-                () -> loop.scheduleAfter(RETRY_DELAY_US, () -> submitWithRetry(operation));
-        enqueue(new Call<>(operation, done -> {}, retryLater));
+    private void enqueue(Call<?> call) {
+        pending.incrementAndGet();
+        calls.add(call);
     }
 
     private void runThread() {
@@ -145,26 +194,65 @@
 
     /**
      * Waits briefly for a call; returns it with those queued behind it, or an empty list if none
-     * came.
+     * came. An operation that depends on a write in the same batch is left for the next one, since
+     * the write may fail alone.
      */
     private List<Call<?>> takeBatch() throws InterruptedException {
         List<Call<?>> batch = new ArrayList<>();
-        Call<?> first = calls.poll(POLL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
-        if (first != null) {
-            batch.add(first);
-            calls.drainTo(batch, MAX_BATCH - 1);
-            pending.addAndGet(-batch.size());
+        Set<StoreKey> written = new HashSet<>();
+        Call<?> next = calls.poll(POLL_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+        while (next != null) {
+            batch.add(next);
+            if (next.repeated()) {
+                written.addAll(next.operation().keys());
+            }
+            next = batch.size() < MAX_BATCH ? pollUnlessDependent(written) : null;
         }
+        pending.addAndGet(-batch.size());
         return batch;
     }
 
+    private Call<?> pollUnlessDependent(Set<StoreKey> written) {
+        Call<?> next = calls.peek();
+        boolean dependent =
+                next != null
+                        && !next.repeated()
+                        && next.operation().keys().stream().anyMatch(written::contains);
+        return dependent ? null : calls.poll();
+    }
+
     private void executeBatch(List<Call<?>> batch) {
+        List<Call<?>> blocked = batch.stream().filter(this::isBlocked).toList();
+        List<Call<?>> executable = batch.stream().filter(call -> !isBlocked(call)).toList();
+        if (!blocked.isEmpty()) {
+            loop.execute(() -> blocked.forEach(call -> complete(call, EARLIER_WRITE_MISSING)));
+        }
+        if (executable.isEmpty()) {
+            return;
+        }
+        List<Object> results = execute(executable);
+        for (int i = 0; i < executable.size(); i++) {
+            recordWrite(executable.get(i), results.get(i));
+        }
+        loop.execute(() -> completeAll(executable, results));
+    }
+
+    private boolean isBlocked(Call<?> call) {
+        return !call.repeated() && unwritten.blocks(call.operation());
+    }
+
+    /** Returns a result for each call, which may be a {@link StoreException}. */
+    private List<Object> execute(List<Call<?>> batch) {
         try {
-            List<Object> results =
-                    circuitBreaker.execute(batch.stream().map(Call::operation).toList());
-            loop.execute(() -> completeAll(batch, results));
+            return circuitBreaker.execute(batch.stream().map(Call::operation).toList());
         } catch (StoreException e) {
-            loop.execute(() -> batch.forEach(call -> complete(call, e)));
+            return Collections.nCopies(batch.size(), e);
+        }
+    }
+
+    private void recordWrite(Call<?> call, Object result) {
+        if (call.repeated()) {
+            unwritten.written(call.operation().keys(), !(result instanceof StoreException));
         }
     }
 
@@ -190,10 +278,6 @@
 
     @SuppressWarnings("unchecked") // the result of a StoreOperation<T> is a T
     private <T> void succeed(Call<T> call, Object result) {
-        JobRecord record = call.operation().record();
-        if (record != null && isNewest(record)) {
-            newest.remove(record.id());
-        }
         call.onSuccess().accept((T) result);
     }
 
--- a/src/main/java/damsonslip/store/StoreOperation.java
+++ b/src/main/java/damsonslip/store/StoreOperation.java
@@ -2,18 +2,25 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
- * An operation on a {@link JobStore}, as a value, so that many can share one round trip. Each is
- * idempotent: after a lost reply it is unknown whether it was executed, and it may be repeated.
- * Immutable.
+ * An operation on a {@link JobStore}, as a value, so that many can share one round trip. After a
+ * lost reply it is unknown whether it was executed. Each is idempotent by itself, and not after
+ * another operation on the same key: {@link AsyncStore} alone repeats operations, and only those
+ * that state what is to be stored. Immutable.
  *
  * @param <T> the type of its result
  */
 public sealed interface StoreOperation<T> {
-    /** The job record that the operation writes; null if it writes none. */
-    default JobRecord record() {
-        return null;
+    /** The keys that the operation writes; empty if it only reads. */
+    default List<StoreKey> keys() {
+        return List.of();
+    }
+
+    /** The same operation for some of its keys only. */
+    default StoreOperation<T> limitedTo(Set<StoreKey> some) {
+        return this;
     }
 
     /** Calls the visitor's method for this type of operation. */
@@ -64,6 +71,11 @@
 
     /** Adds a new job; returns the record that existed already, or null if there was none. */
     record Add(JobRecord record, String body) implements StoreOperation<JobRecord> {
+        @Override
+        public List<StoreKey> keys() {
+            return List.of(StoreKey.ofJob(record.id()));
+        }
+
         @Override
         public <R> R accept(Visitor<R> visitor) {
             return visitor.visit(this);
@@ -72,6 +84,11 @@
 
     /** Replaces a job's record. */
     record Put(JobRecord record) implements StoreOperation<Void> {
+        @Override
+        public List<StoreKey> keys() {
+            return List.of(StoreKey.ofJob(record.id()));
+        }
+
         @Override
         public <R> R accept(Visitor<R> visitor) {
             return visitor.visit(this);
@@ -80,6 +97,11 @@
 
     /** Replaces a job's record and its body. */
     record Replace(JobRecord record, String body) implements StoreOperation<Void> {
+        @Override
+        public List<StoreKey> keys() {
+            return List.of(StoreKey.ofJob(record.id()));
+        }
+
         @Override
         public <R> R accept(Visitor<R> visitor) {
             return visitor.visit(this);
@@ -88,6 +110,11 @@
 
     /** Replaces the record of a job that a worker reserves; returns its body, or null if absent. */
     record Reserve(JobRecord record) implements StoreOperation<String> {
+        @Override
+        public List<StoreKey> keys() {
+            return List.of(StoreKey.ofJob(record.id()));
+        }
+
         @Override
         public <R> R accept(Visitor<R> visitor) {
             return visitor.visit(this);
@@ -112,6 +139,16 @@
 
     /** Deletes jobs with their records and bodies. */
     record Delete(List<String> ids) implements StoreOperation<Void> {
+        @Override
+        public List<StoreKey> keys() {
+            return ids.stream().map(StoreKey::ofJob).toList();
+        }
+
+        @Override
+        public Delete limitedTo(Set<StoreKey> some) {
+            return new Delete(some.stream().map(StoreKey::id).toList());
+        }
+
         @Override
         public <R> R accept(Visitor<R> visitor) {
             return visitor.visit(this);
@@ -138,6 +175,11 @@
 
     /** Writes a value of this scheduler's metadata under a kind and a key; null deletes it. */
     record PutMetadata(String kind, String key, String value) implements StoreOperation<Void> {
+        @Override
+        public List<StoreKey> keys() {
+            return List.of(new StoreKey(kind, key));
+        }
+
         @Override
         public <R> R accept(Visitor<R> visitor) {
             return visitor.visit(this);
