Record a requeued job before it is dispatched, not after its rejection

Change: the write comes first; JobCoordinator.dispatchIfAwaited is a step of its own.

Evidence: LostReplyTest#requeuedJobOfFullClassIsRejected failed before (not told as failed within 10 s), passes now.

--- a/src/main/java/damsonslip/faktory/JobCoordinator.java
+++ b/src/main/java/damsonslip/faktory/JobCoordinator.java
@@ -102,9 +102,14 @@
         return Optional.empty();
     }
 
-    /** Appends a job to its queue; the caller records that in the store if necessary. */
-    void enqueue(JobEntry entry) {
+    /** Appends a job to its queue, without recording that in the store. */
+    private void enqueue(JobEntry entry) {
         lifecycle.moveToQueue(entry);
+        dispatchIfAwaited(entry);
+    }
+
+    /** Dispatches a queued job at once if a client waits for it; it may be rejected at once. */
+    void dispatchIfAwaited(JobEntry entry) {
         if (entry.record().hasWaitingClient()) {
             dispatcher.dispatch(entry);
         }
--- a/src/main/java/damsonslip/faktory/MutateCommand.java
+++ b/src/main/java/damsonslip/faktory/MutateCommand.java
@@ -204,11 +204,12 @@
             mutation.jobHandled(Optional.empty());
             return;
         }
-        coordinator.enqueue(entry);
+        lifecycle.moveToQueue(entry);
         store.write(
                 entry.record(),
                 () -> mutation.jobHandled(Optional.empty()),
                 () -> mutation.jobHandled(Optional.of(NOT_RECORDED)));
+        coordinator.dispatchIfAwaited(entry); // after the write: it may end the job
         coordinator.dispatcher().dispatchSoon();
     }
 }
--- a/src/test/java/damsonslip/faktory/LostReplyTest.java
+++ b/src/test/java/damsonslip/faktory/LostReplyTest.java
@@ -5,8 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import damsonslip.testkit.FaktoryPeer;
+import damsonslip.testkit.FaktoryServer;
 import damsonslip.testkit.RedisStandIn.TrapAction;
 import java.io.IOException;
+import java.time.Instant;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -154,4 +157,27 @@
         assertEquals("+OK", worker.ack("job-00001"));
         assertEquals(bid + "-complete", worker.fetch("q", 2_000), "the callback is due");
     }
+
+    /** The rejection is the newer state: the job must not be told as enqueued for good. */
+    @Test
+    void requeuedJobOfFullClassIsRejected() throws Exception {
+        FaktoryPeer producer = producer();
+        FaktoryPeer worker = peer("w1");
+        String later = Instant.now().plusSeconds(600).toString();
+        assertEquals(
+                "+OK",
+                producer.push(
+                        "scheduled-1",
+                        "apply-submit",
+                        700,
+                        ",\"queue\":\"submit\",\"at\":\"" + later + "\""));
+        fillClass(producer, worker, "first-job-");
+        assertEquals("+OK", producer.mutate("requeue", "scheduled", "scheduled-1"));
+        FaktoryServer.awaitState(producer, "scheduled-1", "failed");
+        assertEquals(
+                List.of(),
+                redis.entries().stream()
+                        .filter(entry -> entry.toString().contains("body:scheduled-1"))
+                        .toList());
+    }
 }
