Start with 20 MB of heap, so that an upgrade fits into half of 144 MB each

Seen: UpgradeTest#anUpgradeUnderLoadFitsOnTheSmallestMachine (KNOWN-RED.txt) failed 4 times of 7 alone on this machine; the old process ended with 1 under its 72 MB of data.

Cause: from its error report, a commit of 64 KB for compiled code is refused. Committed at that moment: 24 MB of heap, of which the old generation used 4.3 of 16 MB, 7 MB of metaspace, 6 MB of code, some 11.5 MB of stacks (four compiler threads and two of the JVM with 1 MB each, 22 with 256 KB).

--- a/src/main/java/damsonslip/tools/lab/soak/SchedulerProcess.java
+++ b/src/main/java/damsonslip/tools/lab/soak/SchedulerProcess.java
@@ -23,7 +23,7 @@
                     "-Djava.locale.providers=COMPAT",
                     "-Dslf4j.provider=org.slf4j.simple.SimpleServiceProvider",
                     "-Dslf4j.internal.verbosity=WARN",
-                    "-Xms24m",
+                    "-Xms20m",
                     "-Xmx64m",
                     "-Xss256k",
                     "-XX:+UseSerialGC",
