--- a/src/test/java/damsonslip/platform/SharedMemoryTest.java
+++ b/src/test/java/damsonslip/platform/SharedMemoryTest.java
@@ -7,7 +7,6 @@
 import damsonslip.testkit.Peer;
 import damsonslip.testkit.Program;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -142,18 +141,11 @@
         assertServed(() -> HEALTH_CHECK);
     }
 
-    /** Each job runs once, so that its worker's line is sent once: all of them exceed the heap. */
     @Test
     void incompleteLinesOfWorkersDoNotFillHeap() throws Exception {
         startWithSmallHeap(manyWorkers(STOP_WITHIN_LINE));
-        List<Peer> clients = new ArrayList<>();
-        for (int i = 0; i < BAD_CLIENTS; i++) {
-            clients.add(Peer.connect(port).send(requestText("job" + i, "submit", "4900m")));
-        }
+        startBadClients(id -> requestText(id, "read", "4000m"));
         assertServed(() -> HEALTH_CHECK);
         assertTrue(jobs("w") > LISTED_WORKERS, jobs("w") + " jobs were sent");
-        for (Peer client : clients) {
-            client.close();
-        }
     }
 }
