--- a/src/main/java/damsonslip/platform/client/ClientConnection.java
+++ b/src/main/java/damsonslip/platform/client/ClientConnection.java
@@ -6,17 +6,14 @@
 import damsonslip.engine.Response;
 import damsonslip.engine.ResponseListener;
 import damsonslip.engine.SlowPeer;
-import damsonslip.engine.invariants.CloseGuard;
 import damsonslip.engine.shutdown.ConnectionDraining;
 import damsonslip.platform.codec.ArrivalTime;
 import damsonslip.platform.codec.BadRequestException;
 import damsonslip.platform.codec.ClientResponse;
 import damsonslip.platform.codec.HttpRequest;
 import damsonslip.platform.codec.RequestReader;
-import damsonslip.platform.codec.WireFormat;
 import damsonslip.transport.EventLoopConnection;
 import damsonslip.transport.OutboundRateMonitor;
-import damsonslip.transport.datarate.MinimumDataRate;
 import java.nio.ByteBuffer;
 import org.eclipse.jetty.io.EndPoint;
 
@@ -25,35 +22,12 @@
  * holds its states. Used on the event loop only.
  */
 final class ClientConnection extends EventLoopConnection implements ResponseListener {
-    /** How much a connection has been used; the least used are closed first. */
-    private enum Usage {
-        LINGERING,
-        SILENT,
-        UNSERVED,
-        SERVED
-    }
-
     /**
      * Within this time a request has to be complete, counted from the opening of the connection or
      * from the request's first bytes.
      */
     private static final long REQUEST_TIMEOUT_US = 2_000_000;
 
-    /**
-     * The rate at which a client has to read its response: it may pause for 5 s at first, and later
-     * for as long as the bytes that it has read take at 2 KB/s, the rate of a weak mobile link, but
-     * 10 s at most. A response that fits into the operating system's socket buffers never stalls.
-     */
-    private static final MinimumDataRate.Limits RESPONSE_RATE =
-            new MinimumDataRate.Limits(5_000_000, 10_000_000, 2 * 1024);
-
-    /**
-     * How many bytes are buffered after a request: one further message. Until the buffer is full, a
-     * close by the client is noticed even after pipelined bytes.
-     */
-    private static final int MAX_PIPELINED_BYTES =
-            WireFormat.MAX_HEADER_BYTES + WireFormat.MAX_BODY_BYTES;
-
     private final ClientServer server;
     private final EventLoop loop;
     private final OutboundRateMonitor responseMonitor;
@@ -85,12 +59,15 @@
     private long idleSinceUs;
 
     ClientConnection(EndPoint endPoint, ClientServer server) {
-        super(endPoint, server.loop(), MAX_PIPELINED_BYTES);
+        super(endPoint, server.loop(), ClientServer.MAX_PIPELINED_BYTES);
         this.server = server;
         this.loop = server.loop();
         this.responseMonitor =
                 new OutboundRateMonitor(
-                        loop, RESPONSE_RATE, this::backlogBytes, this::closeSlowReader);
+                        loop,
+                        ClientServer.RESPONSE_RATE,
+                        this::backlogBytes,
+                        this::closeSlowReader);
     }
 
     @Override
@@ -149,7 +126,7 @@
     private void checkPipelined(ByteBuffer bytes) {
         boolean isRequest = RequestReader.mayBeginRequest(bytes);
         server.requestMemory().setIncomplete(this, bytes.remaining(), loop.nowUs());
-        if (isRequest && bytes.remaining() < maxPipelinedBytes()) {
+        if (isRequest && bytes.remaining() < server.maxPipelinedBytes()) {
             return;
         }
         if (context == null && receivedRequest == null) { // its response is being written already
@@ -162,13 +139,6 @@
                         : BadRequestException.longerThanAnnounced());
     }
 
-    /** Less than usual while all clients together hold too much memory. */
-    private int maxPipelinedBytes() {
-        return server.requestMemory().isExceeded()
-                ? WireFormat.MAX_HEADER_BYTES
-                : MAX_PIPELINED_BYTES;
-    }
-
     /** Rejects the current request because of the bytes after it. */
     private void rejectPipelined(BadRequestException reason) {
         if (context != null) {
@@ -392,14 +362,19 @@
         return !isBusy() || isLingering();
     }
 
-    private Usage usage() {
+    long idleSinceUs() {
+        return idleSinceUs;
+    }
+
+    /** How much the connection has been used. */
+    ConnectionUsage usage() {
         if (isLingering()) {
-            return Usage.LINGERING;
+            return ConnectionUsage.LINGERING;
         }
         if (requests == 0 && !reader.isMidRequest()) {
-            return Usage.SILENT;
+            return ConnectionUsage.SILENT;
         }
-        return served == 0 ? Usage.UNSERVED : Usage.SERVED;
+        return served == 0 ? ConnectionUsage.UNSERVED : ConnectionUsage.SERVED;
     }
 
     @Override
@@ -416,37 +391,7 @@
         releaseRequest();
         reader.discard();
         server.requestMemory().removeIncomplete(this);
-        server.closed(this, closeFacts());
-    }
-
-    private CloseGuard.Facts closeFacts() {
-        if (receivedRequest != null) {
-            return closeFacts(receivedRequest.id(), true);
-        }
-        if (context != null) {
-            return closeFacts(context.request().id(), !context.isClosed());
-        }
-        return closeFacts("", false);
-    }
-
-    private CloseGuard.Facts closeFacts(String requestId, boolean responsePending) {
-        return new CloseGuard.Facts(requestId, responsePending, isClosedByPeer(), closeReason());
-    }
-
-    private String closeReason() {
-        if (isClosedByPeer()) {
-            return "the client has ended it";
-        }
-        return isLingering() ? "said goodbye" : "given up";
-    }
-
-    /**
-     * Compares two connections by the order in which they are closed if there are too many. Not
-     * built from {@code Comparator}'s factory methods: the classes of their lambdas would be
-     * generated at each start-up.
-     */
-    static int compareForEviction(ClientConnection one, ClientConnection other) {
-        int byUsage = one.usage().compareTo(other.usage());
-        return byUsage != 0 ? byUsage : Long.compare(one.idleSinceUs, other.idleSinceUs);
+        server.closed(
+                this, CloseFacts.of(receivedRequest, context, isClosedByPeer(), isLingering()));
     }
 }
--- a/src/main/java/damsonslip/platform/client/ClientServer.java
+++ b/src/main/java/damsonslip/platform/client/ClientServer.java
@@ -17,12 +17,14 @@
 import damsonslip.platform.codec.BadRequestException;
 import damsonslip.platform.codec.HttpRequest;
 import damsonslip.platform.codec.RequestDecoder;
+import damsonslip.platform.codec.WireFormat;
 import damsonslip.transport.ConnectionLimiter;
 import damsonslip.transport.ConnectionManager;
 import damsonslip.transport.EventLoopConnection;
 import damsonslip.transport.ListeningPort;
 import damsonslip.transport.OutboundRateMonitor;
 import damsonslip.transport.datarate.BufferBudget;
+import damsonslip.transport.datarate.MinimumDataRate;
 import damsonslip.transport.datarate.SharedBufferLimit;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -40,6 +42,20 @@
 public final class ClientServer implements ConnectionManager.ConnectionAcceptor {
     private static final Logger LOG = LoggerFactory.getLogger(ClientServer.class);
 
+    /**
+     * The rate at which a client has to read its response: it may pause for 5 s at first, and later
+     * for as long as the bytes that it has read take at 2 KB/s, the rate of a weak mobile link, but
+     * 10 s at most. A response that fits into the operating system's socket buffers never stalls.
+     */
+    static final MinimumDataRate.Limits RESPONSE_RATE =
+            new MinimumDataRate.Limits(5_000_000, 10_000_000, 2 * 1024);
+
+    /**
+     * How many bytes are buffered after a request: one further message. Until the buffer is full, a
+     * close by the client is noticed even after pipelined bytes.
+     */
+    static final int MAX_PIPELINED_BYTES = WireFormat.MAX_HEADER_BYTES + WireFormat.MAX_BODY_BYTES;
+
     /** Unread responses may together hold one part in this many of the heap. */
     private static final int RESPONSE_HEAP_DIVISOR = 8;
 
@@ -98,7 +114,7 @@
                         maxConnections,
                         overflow,
                         ClientConnection::isEvictable,
-                        ClientConnection::compareForEviction);
+                        ConnectionUsage::compareForEviction);
     }
 
     /**
@@ -217,6 +233,11 @@
         return requestMemory;
     }
 
+    /** How many bytes a client may pipeline: less while all clients hold too much memory. */
+    int maxPipelinedBytes() {
+        return requestMemory.isExceeded() ? WireFormat.MAX_HEADER_BYTES : MAX_PIPELINED_BYTES;
+    }
+
     /**
      * Discards incomplete requests if all requests together hold too much memory. Not called while
      * a request is being submitted to the engine.
