--- /dev/null
+++ b/review/standins-2/Main.java
@@ -0,0 +1,17 @@
+package review2;
+
+import java.io.IOException;
+
+/** Runs one case: {@code Main CASE RECORD_FILE}, from the root of the repository. */
+final class Main {
+    private Main() {}
+
+    public static void main(String[] args) throws IOException {
+        Case chosen =
+                switch (args[0]) {
+                    case "CrowdedHeap" -> new CrowdedHeapCase();
+                    default -> throw new IllegalArgumentException(args[0]);
+                };
+        chosen.run(args[1]);
+    }
+}
