Review case 8: an apply-submit runs twice after the store has lost its data

Cause: which jobs have ended is kept in the store only, and a push of a job that the store does not know is a new job. Change: a script that restarts the store without its data between a push and its repetition by the same producer.

--- a/review/standins-2/Main.java
+++ b/review/standins-2/Main.java
@@ -9,6 +9,7 @@
     public static void main(String[] args) throws IOException {
         Case chosen =
                 switch (args[0]) {
+                    case "WipedRepeat" -> new WipedRepeatCase();
                     case "DiscoveryCut" -> new DiscoveryCutCase();
                     case "CrowdedHeap" -> new CrowdedHeapCase();
                     default -> throw new IllegalArgumentException(args[0]);
