--- a/review/standins-2/Main.java
+++ b/review/standins-2/Main.java
@@ -9,6 +9,7 @@
     public static void main(String[] args) throws IOException {
         Case chosen =
                 switch (args[0]) {
+                    case "FailoverPush" -> new FailoverPushCase();
                     case "WipedRepeat" -> new WipedRepeatCase();
                     case "DiscoveryCut" -> new DiscoveryCutCase();
                     case "CrowdedHeap" -> new CrowdedHeapCase();
