--- a/review/standins-2/Main.java
+++ b/review/standins-2/Main.java
@@ -11,6 +11,7 @@
                 switch (args[0]) {
                     case "FailoverPush" -> new FailoverPushCase();
                     case "WipedRepeat" -> new WipedRepeatCase();
+                    case "StoreOutage" -> new StoreOutageCase();
                     case "DiscoveryCut" -> new DiscoveryCutCase();
                     case "CrowdedHeap" -> new CrowdedHeapCase();
                     default -> throw new IllegalArgumentException(args[0]);
