--- a/review/standins-2/Main.java
+++ b/review/standins-2/Main.java
@@ -9,11 +9,11 @@
     public static void main(String[] args) throws IOException {
         Case chosen =
                 switch (args[0]) {
-                    case "FailoverPush" -> new FailoverPushCase();
                     case "WipedRepeat" -> new WipedRepeatCase();
                     case "StoreOutage" -> new StoreOutageCase();
                     case "DiscoveryCut" -> new DiscoveryCutCase();
                     case "CrowdedHeap" -> new CrowdedHeapCase();
+                    case "CopiedId" -> new CopiedIdCase();
                     default -> throw new IllegalArgumentException(args[0]);
                 };
         chosen.run(args[1]);
--- a/review/standins-2/PlatformScheduler.java
+++ b/review/standins-2/PlatformScheduler.java
@@ -1,5 +1,7 @@
 package review2;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -10,16 +12,19 @@
 final class PlatformScheduler implements AutoCloseable {
     private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
     private static final long START_TIMEOUT_MS = 30_000;
+    private static final int NO_MANAGEMENT = 0;
 
     final int port;
     private final Path log;
     private final Path config;
     private final Path temporary;
     private final String run;
+    private final int management;
     private Process process;
 
     PlatformScheduler(Path folder, String name, int discoveryPort, String known) throws IOException {
         port = Scheduler.freePort();
+        management = NO_MANAGEMENT;
         log = folder.resolve(name + ".log");
         config = folder.resolve(name + ".json");
         temporary = Files.createDirectory(folder.resolve(name + ".tmp"));
@@ -37,6 +42,36 @@
                         + "\"known\":" + known + ",\"settings\":" + SETTINGS + "}");
     }
 
+    /** Another process of this scheduler, or its first one, with a second address for operators. */
+    private PlatformScheduler(PlatformScheduler other, Path log) throws IOException {
+        port = other.port;
+        config = other.config;
+        temporary = other.temporary;
+        run = other.run;
+        this.log = log;
+        management = Scheduler.freePort();
+    }
+
+    /** Returns a process of this scheduler that is not started yet, with a second address. */
+    PlatformScheduler process(String name) throws IOException {
+        return new PlatformScheduler(this, log.resolveSibling(name + ".log"));
+    }
+
+    /** Whether the process says YES to READY at its second address. */
+    boolean isReady() throws IOException {
+        try (Http http = Http.connect(management)) {
+            http.send("READY\n");
+            return new String(http.socket.getInputStream().readNBytes(3), UTF_8).equals("YES");
+        } catch (java.net.ConnectException e) {
+            return false;
+        }
+    }
+
+    /** Sends SIGTERM. */
+    void terminate() {
+        process.destroy();
+    }
+
     void start() throws IOException, InterruptedException {
         ProcessBuilder builder =
                 new ProcessBuilder("/bin/sh", "-c", run)
@@ -44,11 +79,14 @@
                         .redirectOutput(log.toFile());
         builder.environment().put("ROUTER_CONFIG", config.toString());
         builder.environment().put("TMPDIR", temporary.toString());
+        if (management != NO_MANAGEMENT) {
+            builder.environment().put("ROUTER_MGMT", "127.0.0.1:" + management);
+        }
         process = builder.start();
         Process started = process;
         Runtime.getRuntime().addShutdownHook(new Thread(started::destroyForcibly));
         long end = System.nanoTime() + START_TIMEOUT_MS * 1_000_000;
-        while (!isHealthy()) {
+        while (management == NO_MANAGEMENT ? !isHealthy() : !isReady()) {
             if (System.nanoTime() > end || !process.isAlive()) {
                 throw new IOException("the scheduler did not start: " + Files.readString(log));
             }
