--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -3,4 +3,5 @@
 # the case could not run. Needs the build of the deploy file and review/build-2.sh.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
+[ -d target/review-2 ] || exit 2
 exec java -cp target/review-2 review2.Main WipedRepeat review/8/record.txt
--- a/review/standins-2/Case.java
+++ b/review/standins-2/Case.java
@@ -13,9 +13,10 @@
 
 /** One case: plays its clients, workers and store, records what happens, and judges the rule. */
 abstract class Case {
+    static final int COULD_NOT_RUN = 2;
+
     private static final int HELD = 0;
     private static final int BROKEN = 1;
-    private static final int COULD_NOT_RUN = 2;
     private static final long TIME_LIMIT_MS = 115_000;
 
     /** Whether the case plays its disruption. */
@@ -56,12 +57,15 @@
             play();
             code = broken > 0 ? BROKEN : HELD;
             note(broken > 0 ? "RULE BROKEN" : "rule held");
-        } catch (Exception e) {
+        } catch (Exception | Error e) {
             code = COULD_NOT_RUN;
             note("not played: " + e);
         }
-        closeAll();
-        System.exit(code);
+        try {
+            closeAll();
+        } finally {
+            System.exit(code);
+        }
     }
 
     private void closeAll() throws IOException {
--- a/review/standins-2/Discovery.java
+++ b/review/standins-2/Discovery.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -84,7 +85,7 @@
                 filler.connect(
                         new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port),
                         CONNECT_TIMEOUT_MS);
-            } catch (IOException e) {
+            } catch (SocketTimeoutException e) {
                 owner.note("the path to discovery is cut: " + e.getMessage());
                 return;
             }
--- a/review/standins-2/Main.java
+++ b/review/standins-2/Main.java
@@ -6,7 +6,7 @@
 final class Main {
     private Main() {}
 
-    public static void main(String[] args) throws IOException {
+    public static void main(String[] args) {
         Case chosen =
                 switch (args[0]) {
                     case "WipedRepeat" -> new WipedRepeatCase();
@@ -16,6 +16,11 @@
                     case "CopiedId" -> new CopiedIdCase();
                     default -> throw new IllegalArgumentException(args[0]);
                 };
-        chosen.run(args[1]);
+        try {
+            chosen.run(args[1]);
+        } catch (IOException e) {
+            System.err.println("not played: " + e);
+            System.exit(Case.COULD_NOT_RUN);
+        }
     }
 }
