--- a/review/standins-2/CrowdedHeapCase.java
+++ b/review/standins-2/CrowdedHeapCase.java
@@ -17,7 +17,7 @@
     private static final int CROWD = 320;
     private static final int BODY_BYTES = 64 * 1024;
     private static final long QUIET_MS = 5_000;
-    private static final long CROWD_MS = 40_000;
+    private static final long CROWD_MS = 90_000;
 
     private final AtomicInteger sent = new AtomicInteger();
     private final AtomicInteger answered = new AtomicInteger();
