--- a/src/main/java/damsonslip/platform/codec/HttpMessageReader.java
+++ b/src/main/java/damsonslip/platform/codec/HttpMessageReader.java
@@ -4,6 +4,9 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.eclipse.jetty.http.HttpException;
 import org.eclipse.jetty.http.HttpField;
 import org.eclipse.jetty.http.HttpParser;
@@ -33,7 +36,8 @@
          * A header field was read.
          *
          * @param name as it was sent
-         * @param repeated whether the message has had a field of this name before
+         * @param repeated whether it is retained, and the message has had a field of this name
+         *     before
          */
         default void header(String name, String value, boolean repeated) {}
 
@@ -51,19 +55,34 @@
         void malformed(int status, String reason);
     }
 
+    /** Jetty's cache of header fields: by default it takes some 100 KB for each connection. */
+    private static final int NO_HEADER_CACHE = 0;
+
     private final MessageKind kind;
+    private final Set<String> retainedHeaders;
     private final Listener listener;
-    private final HttpParser parser;
+    private final ParserEvents events = new ParserEvents();
+
+    /** Parses the current message; null before its first byte and after its last one. */
+    private HttpParser parser;
+
     private Map<String, String> headers = new HashMap<>();
     private boolean persistent;
     private boolean complete;
     private boolean stopped;
 
-    HttpMessageReader(MessageKind kind, Listener listener) {
+    /**
+     * @param retainedHeaders the names of the header fields that the owner uses, in lower case; no
+     *     others are kept, since many short fields take much more memory than their bytes
+     */
+    HttpMessageReader(MessageKind kind, Set<String> retainedHeaders, Listener listener) {
         this.kind = kind;
+        this.retainedHeaders = retainedHeaders;
         this.listener = listener;
-        ParserEvents events = new ParserEvents();
-        this.parser =
+    }
+
+    private HttpParser newParser() {
+        HttpParser created =
                 switch (kind) {
                     case REQUEST ->
                             new HttpParser(
@@ -74,6 +93,8 @@
                                     (HttpParser.ResponseHandler) events,
                                     WireFormat.MAX_HEADER_BYTES);
                 };
+        created.setHeaderCacheSize(NO_HEADER_CACHE);
+        return created;
     }
 
     /**
@@ -83,12 +104,18 @@
      */
     boolean read(ByteBuffer bytes) {
         while (!complete && !stopped && BufferUtil.hasContent(bytes)) {
+            if (parser == null) {
+                parser = newParser();
+            }
             int before = bytes.remaining();
             parser.parseNext(bytes);
             if (bytes.remaining() == before) {
                 break;
             }
         }
+        if (complete || stopped) {
+            parser = null; // it refers to the bytes that it has read last
+        }
         return complete;
     }
 
@@ -97,19 +124,34 @@
         stopped = true;
     }
 
+    /** Stops reading, and releases the memory; not called by the listener. */
+    void discard() {
+        stop();
+        parser = null;
+        forgetHeaders();
+    }
+
     /** Prepares for the next message. */
     void reset() {
-        parser.reset();
-        headers = new HashMap<>();
+        parser = null;
+        forgetHeaders();
         complete = false;
     }
 
-    /** The header fields of the current message, by their names in lower case. */
+    /** Releases the header fields of a message that its owner has taken over. */
+    void forgetHeaders() {
+        headers = new HashMap<>();
+    }
+
+    /** The retained header fields of the current message, by their names in lower case. */
     Map<String, String> headers() {
         return headers;
     }
 
-    /** The length that the header fields announce, or a negative number. */
+    /**
+     * The length that the header fields announce, or a negative number. Only during a call of the
+     * listener.
+     */
     long contentLength() {
         return parser.getContentLength();
     }
@@ -126,7 +168,7 @@
 
     /** Whether a message has begun and is incomplete. */
     boolean isMidMessage() {
-        return !complete && !parser.isState(HttpParser.State.START);
+        return parser != null && !parser.isState(HttpParser.State.START);
     }
 
     /**
@@ -162,7 +204,8 @@
             if (field.getName().equalsIgnoreCase(WireNames.Header.CONNECTION)) {
                 persistent = persistsAfter(value);
             }
-            boolean repeated = headers.put(lowerCase(field.getName()), value) != null;
+            String name = lowerCase(field.getName());
+            boolean repeated = retainedHeaders.contains(name) && headers.put(name, value) != null;
             listener.header(field.getName(), value, repeated);
         }
 
@@ -204,4 +247,11 @@
     static String lowerCase(String name) {
         return name.toLowerCase(Locale.ROOT);
     }
+
+    /** A set of names for {@link HttpMessageReader}, in lower case. */
+    static Set<String> names(String... names) {
+        return Stream.of(names)
+                .map(HttpMessageReader::lowerCase)
+                .collect(Collectors.toUnmodifiableSet());
+    }
 }
--- a/src/main/java/damsonslip/platform/codec/RequestReader.java
+++ b/src/main/java/damsonslip/platform/codec/RequestReader.java
@@ -18,18 +18,24 @@
 
     /** Header fields that may occur only once: a repeated one makes the request ambiguous. */
     private static final Set<String> UNIQUE_HEADERS =
-            Stream.of(
-                            WireNames.Header.REQUEST_ID,
-                            WireNames.Header.JOB_CLASS,
-                            WireNames.Header.TENANT,
-                            WireNames.Header.TIME_BUDGET,
-                            WireNames.Header.IDEMPOTENCY_KEY,
-                            WireNames.Header.DEMANDS)
-                    .map(HttpMessageReader::lowerCase)
+            HttpMessageReader.names(
+                    WireNames.Header.REQUEST_ID,
+                    WireNames.Header.JOB_CLASS,
+                    WireNames.Header.TENANT,
+                    WireNames.Header.TIME_BUDGET,
+                    WireNames.Header.IDEMPOTENCY_KEY,
+                    WireNames.Header.DEMANDS);
+
+    /** Header fields that {@link RequestDecoder} uses. */
+    private static final Set<String> RETAINED_HEADERS =
+            Stream.concat(
+                            UNIQUE_HEADERS.stream(),
+                            HttpMessageReader.names(WireNames.Header.CONTENT_TYPE).stream())
                     .collect(Collectors.toUnmodifiableSet());
 
     private final HttpMessageReader reader =
-            new HttpMessageReader(HttpMessageReader.MessageKind.REQUEST, new RequestParts());
+            new HttpMessageReader(
+                    HttpMessageReader.MessageKind.REQUEST, RETAINED_HEADERS, new RequestParts());
     private final BodyBuffer body = new BodyBuffer(WireFormat.MAX_BODY_BYTES);
 
     /** The bytes of the current request that were read: its head and its body. */
@@ -54,7 +60,16 @@
         if (failure != null) {
             throw failure;
         }
-        return complete ? new HttpRequest(method, target, reader.headers(), body.take()) : null;
+        return complete ? takeRequest() : null;
+    }
+
+    /** Returns the complete request, without keeping any of it. */
+    private HttpRequest takeRequest() {
+        HttpRequest request = new HttpRequest(method, target, reader.headers(), body.take());
+        method = null;
+        target = null;
+        reader.forgetHeaders();
+        return request;
     }
 
     /** The memory that an incomplete request holds, in bytes; 0 if none has begun. */
@@ -64,7 +79,7 @@
 
     /** Releases the memory of a request that is not read any further. */
     public void discard() {
-        reader.stop();
+        reader.discard();
         body.clear();
         readBytes = 0;
     }
--- a/src/main/java/damsonslip/platform/codec/ResponseReader.java
+++ b/src/main/java/damsonslip/platform/codec/ResponseReader.java
@@ -1,12 +1,17 @@
 package damsonslip.platform.codec;
 
 import java.nio.ByteBuffer;
+import java.util.Set;
 import org.eclipse.jetty.util.BufferUtil;
 
 /** Decodes the responses of one connection to a worker or to discovery, one after the other. */
 public final class ResponseReader {
     private static final int FIRST_FINAL_STATUS = 200;
 
+    /** Header fields that {@link ResponseHead} uses. */
+    private static final Set<String> RETAINED_HEADERS =
+            HttpMessageReader.names(WireNames.Header.LOAD_REPORT, WireNames.Header.NOT_EXECUTED);
+
     /** Receives the parts of each response in order. */
     public interface Listener {
         /** The head of a response was read. */
@@ -28,7 +33,8 @@
 
     private final Listener listener;
     private final HttpMessageReader reader =
-            new HttpMessageReader(HttpMessageReader.MessageKind.RESPONSE, new ResponseParts());
+            new HttpMessageReader(
+                    HttpMessageReader.MessageKind.RESPONSE, RETAINED_HEADERS, new ResponseParts());
     private int status;
 
     /** Creates a reader that reports to this listener. */
--- a/src/main/java/damsonslip/transport/ConnectionManager.java
+++ b/src/main/java/damsonslip/transport/ConnectionManager.java
@@ -47,6 +47,9 @@
     private final RoundClock rounds;
     private final SelectorMonitor selectorMonitor = new SelectorMonitor();
 
+    /** Used on the loop. */
+    private final ReadBufferPool readBuffers = new ReadBufferPool();
+
     /** Open connections, and those closed since the last check; used on the loop. */
     private final List<EventLoopConnection> connections = new ArrayList<>();
 
@@ -253,7 +256,8 @@
                 new RearmableKey(key),
                 getScheduler(),
                 loop,
-                new ArrivalBound(rounds, arrivedAfterUs));
+                new ArrivalBound(rounds, arrivedAfterUs),
+                readBuffers);
     }
 
     @Override
--- a/src/main/java/damsonslip/transport/ConnectionReader.java
+++ b/src/main/java/damsonslip/transport/ConnectionReader.java
@@ -40,10 +40,14 @@
     /**
      * @param maxBufferedBytes the maximum number of bytes that are read and not consumed
      */
-    ConnectionReader(EventLoopConnection connection, EventLoop loop, int maxBufferedBytes) {
+    ConnectionReader(
+            EventLoopConnection connection,
+            EventLoop loop,
+            ReadBufferPool buffers,
+            int maxBufferedBytes) {
         this.connection = connection;
         this.loop = loop;
-        this.buffer = new ReadBuffer(maxBufferedBytes);
+        this.buffer = new ReadBuffer(buffers, maxBufferedBytes);
     }
 
     /** Reads the available bytes, unless the selector will report them anyway. */
@@ -60,14 +64,23 @@
                         && !connection.isBackpressured()
                         && !buffer.isEmpty();
         if (offered) {
-            connection.received(buffer.bytes());
-            buffer.reclaimIfEmpty();
+            offerBuffered();
         }
         if (!connection.isClosed() && (offered || !connection.isFillInterested())) {
             read();
         }
     }
 
+    private void offerBuffered() {
+        buffer.beginRead();
+        try {
+            connection.received(buffer.bytes());
+            buffer.reclaimIfEmpty();
+        } finally {
+            buffer.endRead();
+        }
+    }
+
     /** Discards the buffered bytes and all that are received from now on. */
     void startDiscarding() {
         discardBuffered();
@@ -88,6 +101,7 @@
 
     /** Reads until no more bytes are available, or a bound is reached. */
     void read() {
+        buffer.beginRead();
         try {
             readOneTurn();
         } catch (IOException e) {
@@ -96,6 +110,8 @@
             // reading has stopped: left open, the connection would never be read again
             LOG.error("event=connection_failed peer={}", connection.remoteAddress(), e);
             connection.closeAsLost();
+        } finally {
+            buffer.endRead();
         }
     }
 
--- a/src/main/java/damsonslip/transport/EventLoopConnection.java
+++ b/src/main/java/damsonslip/transport/EventLoopConnection.java
@@ -46,7 +46,7 @@
 
     /** Creates a connection that reads ahead one buffer of the initial size at most. */
     protected EventLoopConnection(EndPoint endPoint, EventLoop loop) {
-        this(endPoint, loop, ReadBuffer.INITIAL_BYTES);
+        this(endPoint, loop, ReadBufferPool.BUFFER_BYTES);
     }
 
     /**
@@ -58,16 +58,22 @@
     protected EventLoopConnection(EndPoint endPoint, EventLoop loop, int maxReadAheadBytes) {
         super(endPoint, loop::execute);
         this.loop = loop;
-        this.reader = new ConnectionReader(this, loop, maxReadAheadBytes);
+        this.reader = new ConnectionReader(this, loop, buffers(endPoint), maxReadAheadBytes);
         this.writes = new WriteQueue(endPoint, new WriteListener());
     }
 
+    private static ReadBufferPool buffers(EndPoint endPoint) {
+        return endPoint instanceof LoopEndPoint loopEndPoint
+                ? loopEndPoint.readBuffers()
+                : new ReadBufferPool();
+    }
+
     /** Called once the connection is open. */
     protected abstract void opened();
 
     /**
      * Called when bytes have been read; those left in the buffer are passed again with the next
-     * ones, or on {@link #resumeReading}.
+     * ones, or on {@link #resumeReading}. The buffer is valid during the call only.
      */
     protected abstract void received(ByteBuffer bytes);
 
--- a/src/main/java/damsonslip/transport/LoopEndPoint.java
+++ b/src/main/java/damsonslip/transport/LoopEndPoint.java
@@ -38,6 +38,7 @@
     private final ManagedSelector selector;
     private final RearmableKey key;
     private final ArrivalBound arrival;
+    private final ReadBufferPool readBuffers;
     private long failingSinceUs = NEVER;
     private int failures;
 
@@ -47,12 +48,19 @@
             RearmableKey key,
             Scheduler scheduler,
             EventLoop loop,
-            ArrivalBound arrival) {
+            ArrivalBound arrival,
+            ReadBufferPool readBuffers) {
         super(channel, selector, key, scheduler);
         this.loop = loop;
         this.selector = selector;
         this.key = key;
         this.arrival = arrival;
+        this.readBuffers = readBuffers;
+    }
+
+    /** Returns the buffers that the connections of this loop share. */
+    ReadBufferPool readBuffers() {
+        return readBuffers;
     }
 
     /** Returns the earliest possible arrival of the bytes that can be read now. */
--- a/src/test/java/damsonslip/platform/SharedMemoryTest.java
+++ b/src/test/java/damsonslip/platform/SharedMemoryTest.java
@@ -41,6 +41,15 @@
                 Thread.sleep(30_000);
             };
 
+    private static final Work SERVE_SLOWLY =
+            (peer, job) -> {
+                Thread.sleep(400);
+                peer.send("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n")
+                        .send("Transfer-Encoding: chunked\r\n\r\n")
+                        .chunk(state(job, "done", ",\"result\":\"r\""))
+                        .send("0\r\n\r\n");
+            };
+
     private static final String HEALTH_CHECK = "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n";
 
     private final AtomicInteger nextId = new AtomicInteger();
@@ -87,6 +96,29 @@
         }
     }
 
+    /** Starts clients that send one request after the other, each on one connection if it stays. */
+    private void startBusyClients(UnaryOperator<String> requestForId) {
+        for (int i = 0; i < BAD_CLIENTS; i++) {
+            Thread client = new Thread(() -> sendOneByOne(requestForId), "busy client");
+            client.setDaemon(true);
+            client.start();
+        }
+    }
+
+    private void sendOneByOne(UnaryOperator<String> requestForId) {
+        while (!over) {
+            try (Peer client = Peer.connect(port)) {
+                String connection = null;
+                while (!over && !"close".equals(connection)) {
+                    client.send(requestForId.apply("busy" + nextId.incrementAndGet()));
+                    connection = client.message().field("Connection");
+                }
+            } catch (IOException e) {
+                pause();
+            }
+        }
+    }
+
     private void attack(UnaryOperator<String> textForId) {
         while (!over) {
             try (Peer client = Peer.connect(port)) {
@@ -126,6 +158,15 @@
         assertServed(this::usualRequest);
     }
 
+    /** What a connection keeps for its next request counts as well: once, its parser's cache. */
+    @Test
+    void completeRequestsDoNotFillHeap() throws Exception {
+        startWithSmallHeap(manyWorkers(SERVE_SLOWLY));
+        startBusyClients(id -> largeRequest(id, LARGEST_BODY_BYTES));
+        assertServed(() -> HEALTH_CHECK);
+        assertTrue(jobs("w") > LISTED_WORKERS, jobs("w") + " jobs were sent");
+    }
+
     private static String allButLastByte(String request) {
         return request.substring(0, request.length() - 1);
     }
--- a/src/test/java/damsonslip/testkit/Program.java
+++ b/src/test/java/damsonslip/testkit/Program.java
@@ -255,6 +255,24 @@
         return status("VmHWM:") / KB;
     }
 
+    /** The size of all objects that a garbage collection leaves, in bytes. */
+    public long liveHeapBytes() throws IOException, InterruptedException {
+        Process histogram =
+                new ProcessBuilder(
+                                Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
+                                Long.toString(process.pid()),
+                                "GC.class_histogram")
+                        .redirectErrorStream(true)
+                        .start();
+        String text = new String(histogram.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        histogram.waitFor();
+        return text.lines()
+                .filter(line -> line.startsWith("Total"))
+                .mapToLong(line -> Long.parseLong(line.strip().split("\\s+")[2]))
+                .findFirst()
+                .orElseThrow(() -> new IOException("no histogram: " + text));
+    }
+
     /** The current number of threads. */
     public long threads() throws IOException {
         return status("Threads:");
