Test packages have their package pages, so that the style check needs no exceptions

Cause: JavadocPackage reports one file of a folder, the first that the file system lists, and the exceptions named that file: a rewritten file could turn the check red.

--- /dev/null
+++ b/src/test/java/damsonslip/admin/console/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the console against the real program. */
+package damsonslip.admin.console;
--- /dev/null
+++ b/src/test/java/damsonslip/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the command line and its commands. */
+package damsonslip.cli;
--- /dev/null
+++ b/src/test/java/damsonslip/config/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the reading of configuration files. */
+package damsonslip.config;
--- /dev/null
+++ b/src/test/java/damsonslip/engine/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the engine without a network: requests, attempts, the event loop and the lifecycle. */
+package damsonslip.engine;
--- /dev/null
+++ b/src/test/java/damsonslip/engine/shutdown/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the times of a graceful shutdown. */
+package damsonslip.engine.shutdown;
--- /dev/null
+++ b/src/test/java/damsonslip/tools/conformance/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the conformance suite for Faktory servers. */
+package damsonslip.tools.conformance;
--- /dev/null
+++ b/src/test/java/damsonslip/tools/lab/soak/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the soak. */
+package damsonslip.tools.lab.soak;
