Limits on shared memory count heads and whole buffers; closed requests keep no body

Cause: an incomplete head was counted as its bytes, and takes up to three times as much (18 KB for 7.5 KB); an accepted request as its body, without its head; bytes read ahead as their number, and keep a buffer of 8 to 72 KB; a line as its bytes, in an array of up to twice the size; heads of workers' responses not at all. A request whose client had gone kept its body as long as an attempt was open: up to 64 KB for each connection to a worker where attempts may not be cancelled.

Change: HttpMessageReader and LineDecoder say how much memory a message takes; RequestMemory holds one connection's part of the limit. A request's payload is released with its final response or its client's close; AttemptSender sends nothing for a request that was closed meanwhile.

--- a/src/main/java/damsonslip/engine/Attempt.java
+++ b/src/main/java/damsonslip/engine/Attempt.java
@@ -98,6 +98,11 @@
         return isOpen() && nowUs < startByUs && context.isClientWaiting() && isOpen();
     }
 
+    /** Whether the attempt is open and its request is neither answered nor abandoned. */
+    public boolean isAwaited() {
+        return isOpen() && !context.isClosed();
+    }
+
     /**
      * Whether the client still waits. Reads the pending input of its connection first, so the
      * attempt may have ended when this call returns.
--- a/src/main/java/damsonslip/engine/Request.java
+++ b/src/main/java/damsonslip/engine/Request.java
@@ -32,5 +32,11 @@
         Predicate<String> eligibleWorkers,
         Payload payload) {
     /** Content in the representation of a frontend. */
-    public interface Payload {}
+    public interface Payload {
+        /**
+         * Releases the memory. Called once the request has its final response or its client has
+         * disconnected, since no attempt is started any more; attempts may still be open.
+         */
+        default void release() {}
+    }
 }
--- a/src/main/java/damsonslip/engine/RequestContext.java
+++ b/src/main/java/damsonslip/engine/RequestContext.java
@@ -148,6 +148,9 @@
             return false;
         }
         state = next;
+        if (request.payload() != null) {
+            request.payload().release();
+        }
         return true;
     }
 }
--- a/src/main/java/damsonslip/faktory/FaktoryConnection.java
+++ b/src/main/java/damsonslip/faktory/FaktoryConnection.java
@@ -118,7 +118,7 @@
         }
         int completeBytes = incompleteBytes + data.length - decoder.unfinishedBytes();
         incompleteBytes = decoder.unfinishedBytes();
-        faktory.commandMemory().setIncomplete(this, incompleteBytes, faktory.loop().nowUs());
+        faktory.commandMemory().setIncomplete(this, decoder.memoryBytes(), faktory.loop().nowUs());
         measureSending(data.length, !lines.isEmpty());
         if (!lines.isEmpty() && !accept(completeBytes)) {
             closeForMemory();
--- a/src/main/java/damsonslip/platform/client/ClientConnection.java
+++ b/src/main/java/damsonslip/platform/client/ClientConnection.java
@@ -33,6 +33,7 @@
     private final OutboundRateMonitor responseMonitor;
     private final RequestReader reader = new RequestReader();
     private final ArrivalTimes arrivalTimes = new ArrivalTimes();
+    private final RequestMemory memory;
 
     private ClientConnectionState state = ClientConnectionState.RECEIVING;
 
@@ -45,9 +46,6 @@
     /** The request in state {@link ClientConnectionState#PROCESSING}, else null. */
     private RequestContext context;
 
-    /** The memory of the request's body while the engine has the request, in bytes. */
-    private int acceptedBytes;
-
     /** Whether the connection is closed after the current response. */
     private boolean closing;
 
@@ -62,6 +60,7 @@
         super(endPoint, server.loop(), ClientServer.MAX_PIPELINED_BYTES);
         this.server = server;
         this.loop = server.loop();
+        this.memory = new RequestMemory(server.requestMemory(), this, loop);
         this.responseMonitor =
                 new OutboundRateMonitor(
                         loop,
@@ -101,7 +100,7 @@
             if (!RequestReader.mayBeginRequest(bytes)) {
                 throw BadRequestException.longerThanAnnounced();
             }
-            server.requestMemory().setIncomplete(this, bytes.remaining(), loop.nowUs());
+            memory.setReadAhead(bytes);
             handle(request, arrival);
         } catch (BadRequestException e) {
             reject(e);
@@ -109,7 +108,7 @@
     }
 
     private void awaitRest() {
-        server.requestMemory().setIncomplete(this, reader.incompleteBytes(), loop.nowUs());
+        memory.setIncomplete(reader.incompleteBytes());
         if (reader.takeExpectContinue()) {
             write(() -> {}, ClientResponse.encodeContinue());
         }
@@ -125,7 +124,7 @@
      */
     private void checkPipelined(ByteBuffer bytes) {
         boolean isRequest = RequestReader.mayBeginRequest(bytes);
-        server.requestMemory().setIncomplete(this, bytes.remaining(), loop.nowUs());
+        memory.setReadAhead(bytes);
         if (isRequest && bytes.remaining() < server.maxPipelinedBytes()) {
             return;
         }
@@ -154,7 +153,7 @@
      * hold too much memory.
      */
     void discardIncomplete() {
-        server.requestMemory().removeIncomplete(this);
+        memory.removeIncomplete();
         switch (state) {
             case RECEIVING -> {
                 stopRequestTimer();
@@ -173,10 +172,9 @@
                     respond(ClientResponse.expiredBeforeAdmission());
                     return;
                 }
-                if (!server.requestMemory().tryAccept(request.bodyBytes())) {
+                if (!memory.tryAccept(request.memoryBytes())) {
                     throw BadRequestException.outOfMemory();
                 }
-                acceptedBytes = request.bodyBytes();
                 receivedRequest = decoded;
                 transitionTo(ClientConnectionState.RECEIVED);
                 server.enforceRequestMemory();
@@ -233,7 +231,7 @@
 
     private void respond(ClientResponse response) {
         transitionTo(ClientConnectionState.RESPONDING);
-        releaseRequest();
+        memory.releaseAccepted();
         if (!reader.isPersistent() || !server.isReady()) {
             closeAfterResponse();
         }
@@ -249,12 +247,7 @@
         closing = true;
         reader.discard();
         discardReadAhead();
-        server.requestMemory().removeIncomplete(this);
-    }
-
-    private void releaseRequest() {
-        server.requestMemory().release(acceptedBytes);
-        acceptedBytes = 0;
+        memory.removeIncomplete();
     }
 
     private void responseWritten() {
@@ -388,10 +381,11 @@
     protected void connectionClosed() {
         responseMonitor.end();
         stopRequestTimer();
-        releaseRequest();
+        memory.releaseAccepted();
         reader.discard();
-        server.requestMemory().removeIncomplete(this);
+        memory.removeIncomplete();
         server.closed(
                 this, CloseFacts.of(receivedRequest, context, isClosedByPeer(), isLingering()));
+        receivedRequest = null;
     }
 }
--- a/src/main/java/damsonslip/platform/codec/ForwardedRequest.java
+++ b/src/main/java/damsonslip/platform/codec/ForwardedRequest.java
@@ -2,13 +2,18 @@
 
 import damsonslip.engine.Request;
 
-/** The parts of a client's request that are forwarded to a worker unchanged. Immutable. */
+/**
+ * The parts of a client's request that are forwarded to a worker unchanged. Immutable until it is
+ * released.
+ */
 public final class ForwardedRequest implements Request.Payload {
     private final String method;
     private final String target;
     private final String idempotencyKey;
     private final String contentType;
-    private final byte[] body;
+
+    /** Null once released. */
+    private byte[] body;
 
     ForwardedRequest(
             String method, String target, String idempotencyKey, String contentType, byte[] body) {
@@ -37,7 +42,20 @@
         return contentType;
     }
 
+    /**
+     * The body.
+     *
+     * @throws IllegalStateException if the request is closed
+     */
     byte[] body() {
+        if (body == null) {
+            throw new IllegalStateException("the request is closed");
+        }
         return body;
     }
+
+    @Override
+    public void release() {
+        body = null;
+    }
 }
--- a/src/main/java/damsonslip/platform/codec/HttpMessageReader.java
+++ b/src/main/java/damsonslip/platform/codec/HttpMessageReader.java
@@ -58,6 +58,12 @@
     /** Jetty's cache of header fields: by default it takes some 100 KB for each connection. */
     private static final int NO_HEADER_CACHE = 0;
 
+    /**
+     * How many bytes of memory a byte of a head takes at most while it is parsed: the parser's
+     * buffer, which doubles, and the text made from it.
+     */
+    private static final int MEMORY_PER_HEAD_BYTE = 3;
+
     private final MessageKind kind;
     private final Set<String> retainedHeaders;
     private final Listener listener;
@@ -67,6 +73,15 @@
     private HttpParser parser;
 
     private Map<String, String> headers = new HashMap<>();
+
+    /** The bytes of the current message's head that were read. */
+    private int headBytes;
+
+    private boolean headComplete;
+
+    /** The bytes of content in the current call of the parser. */
+    private int contentBytes;
+
     private boolean persistent;
     private boolean complete;
     private boolean stopped;
@@ -107,9 +122,7 @@
             if (parser == null) {
                 parser = newParser();
             }
-            int before = bytes.remaining();
-            parser.parseNext(bytes);
-            if (bytes.remaining() == before) {
+            if (parseNext(bytes) == 0) {
                 break;
             }
         }
@@ -119,6 +132,24 @@
         return complete;
     }
 
+    /** Returns the number of bytes that were parsed. */
+    private int parseNext(ByteBuffer bytes) {
+        int before = bytes.remaining();
+        boolean isHead = !headComplete;
+        contentBytes = 0;
+        parser.parseNext(bytes);
+        int parsed = before - bytes.remaining();
+        if (isHead) {
+            headBytes += parsed - contentBytes;
+        }
+        return parsed;
+    }
+
+    /** The memory that the head of the current message takes at most, in bytes. */
+    int headMemoryBytes() {
+        return parser == null ? 0 : headBytes * MEMORY_PER_HEAD_BYTE;
+    }
+
     /** Stops reading: nothing more of this connection is parsed. */
     void stop() {
         stopped = true;
@@ -135,6 +166,8 @@
     void reset() {
         parser = null;
         forgetHeaders();
+        headBytes = 0;
+        headComplete = false;
         complete = false;
     }
 
@@ -211,12 +244,14 @@
 
         @Override
         public boolean headerComplete() {
+            headComplete = true;
             listener.headersComplete();
             return stopped;
         }
 
         @Override
         public boolean content(ByteBuffer part) {
+            contentBytes += part.remaining();
             listener.content(part);
             return stopped;
         }
--- a/src/main/java/damsonslip/platform/codec/HttpRequest.java
+++ b/src/main/java/damsonslip/platform/codec/HttpRequest.java
@@ -63,9 +63,13 @@
         return body;
     }
 
-    /** The size of the body. */
-    public int bodyBytes() {
-        return body.length;
+    /** The memory that the request's content and texts take, in bytes. */
+    public int memoryBytes() {
+        int bytes = body.length + target.length();
+        for (String value : headers.values()) {
+            bytes += value.length();
+        }
+        return bytes;
     }
 
     /** The value of a header field; null if the request has none of this name. */
--- a/src/main/java/damsonslip/platform/codec/RequestReader.java
+++ b/src/main/java/damsonslip/platform/codec/RequestReader.java
@@ -38,9 +38,6 @@
                     HttpMessageReader.MessageKind.REQUEST, RETAINED_HEADERS, new RequestParts());
     private final BodyBuffer body = new BodyBuffer(WireFormat.MAX_BODY_BYTES);
 
-    /** The bytes of the current request that were read: its head and its body. */
-    private int readBytes;
-
     private String method;
     private String target;
     private boolean expectsContinue;
@@ -54,9 +51,7 @@
      *     has to be closed after the response
      */
     public HttpRequest read(ByteBuffer bytes) throws BadRequestException {
-        int before = bytes.remaining();
         boolean complete = reader.read(bytes);
-        readBytes += before - bytes.remaining();
         if (failure != null) {
             throw failure;
         }
@@ -74,14 +69,13 @@
 
     /** The memory that an incomplete request holds, in bytes; 0 if none has begun. */
     public int incompleteBytes() {
-        return isMidRequest() ? readBytes - body.size() + body.capacity() : 0;
+        return isMidRequest() ? reader.headMemoryBytes() + body.capacity() : 0;
     }
 
     /** Releases the memory of a request that is not read any further. */
     public void discard() {
         reader.discard();
         body.clear();
-        readBytes = 0;
     }
 
     /** Whether these bytes can be the beginning of a request, as far as they have arrived. */
@@ -117,7 +111,6 @@
     public void reset() {
         reader.reset();
         body.clear();
-        readBytes = 0;
     }
 
     private final class RequestParts implements HttpMessageReader.Listener {
--- a/src/main/java/damsonslip/platform/codec/ResponseReader.java
+++ b/src/main/java/damsonslip/platform/codec/ResponseReader.java
@@ -57,6 +57,11 @@
         }
     }
 
+    /** The memory that the head of the current response takes at most, in bytes. */
+    public int headMemoryBytes() {
+        return reader.headMemoryBytes();
+    }
+
     /**
      * Whether this is a final response, as opposed to an interim one such as {@code 100 Continue}.
      */
--- a/src/main/java/damsonslip/platform/worker/AttemptSender.java
+++ b/src/main/java/damsonslip/platform/worker/AttemptSender.java
@@ -100,6 +100,11 @@
     }
 
     private void sendOver(WorkerConnection connection, Attempt attempt) {
+        if (!attempt.isAwaited()) { // what was read from the idle connection has closed the request
+            pool.release(connection);
+            fail(attempt, AttemptOutcome.NEVER_SENT);
+            return;
+        }
         String worker = attempt.worker();
         if (!permission.maySend(worker)) {
             statistics.sendStoppedByDraining();
--- a/src/main/java/damsonslip/platform/worker/ResponseMemory.java
+++ b/src/main/java/damsonslip/platform/worker/ResponseMemory.java
@@ -4,9 +4,9 @@
 import damsonslip.transport.datarate.SharedBufferLimit;
 
 /**
- * Bounds the memory that all workers' incomplete responses hold together. A line of a response is
- * bounded for each connection as well, but workers that begin long lines and stop would otherwise
- * fill the heap over all connections. Used on the event loop only.
+ * Bounds the memory that all workers' incomplete responses hold together. The head and a line of a
+ * response are bounded for each connection as well, but workers that begin long ones and stop would
+ * otherwise fill the heap over all connections. Used on the event loop only.
  */
 final class ResponseMemory {
     /** Incomplete responses may together hold one part in this many of the heap. */
@@ -21,10 +21,10 @@
     }
 
     /**
-     * Records how many bytes of an incomplete line a connection holds; at the limit, fails the
-     * responses that have held the most for the longest time.
+     * Records how much memory the incomplete head and line of a connection's response take; at the
+     * limit, fails the responses that have held the most for the longest time.
      */
-    void incompleteLine(WorkerConnection connection, int bytes) {
+    void setIncomplete(WorkerConnection connection, int bytes) {
         limit.setIncomplete(connection, bytes, loop.nowUs());
         limit.chooseExcess(loop.nowUs())
                 .forEach(
@@ -34,8 +34,8 @@
                         });
     }
 
-    /** Forgets the incomplete line of a connection. */
-    void lineEnded(WorkerConnection connection) {
+    /** Forgets the response of a connection. */
+    void removeIncomplete(WorkerConnection connection) {
         limit.removeIncomplete(connection);
     }
 }
--- a/src/main/java/damsonslip/platform/worker/WorkerConnection.java
+++ b/src/main/java/damsonslip/platform/worker/WorkerConnection.java
@@ -265,6 +265,10 @@
             return;
         }
         reader.read(bytes);
+        if (!isClosed()) {
+            owner.responseMemory()
+                    .setIncomplete(this, reader.headMemoryBytes() + lines.memoryBytes());
+        }
         if (!isClosed() && state.isSettled() && responseEndTimer == null) {
             responseEndTimer = loop.scheduleAfter(RESPONSE_END_TIMEOUT_US, this::abort);
         }
@@ -290,9 +294,6 @@
             return;
         }
         complete.forEach(this::lineReceived);
-        if (!isClosed()) {
-            owner.responseMemory().incompleteLine(this, lines.unfinishedBytes());
-        }
     }
 
     private void lineReceived(String line) {
@@ -334,7 +335,7 @@
         }
         transition(Event.RESPONSE_COMPLETED);
         lines.takeUnfinished();
-        owner.responseMemory().lineEnded(this);
+        owner.responseMemory().removeIncomplete(this);
         if (reusable) {
             idleSinceUs = loop.nowUs();
             owner.pool().release(this);
@@ -406,7 +407,7 @@
         uploadMonitor.end();
         stopResponseEndTimer();
         lines.takeUnfinished();
-        owner.responseMemory().lineEnded(this);
+        owner.responseMemory().removeIncomplete(this);
         if (attempt != null) {
             owner.attempts().checkEndsAfterClose(attempt);
         }
--- a/src/main/java/damsonslip/transport/LineDecoder.java
+++ b/src/main/java/damsonslip/transport/LineDecoder.java
@@ -11,7 +11,13 @@
  */
 public final class LineDecoder {
     private final int maxLineBytes;
-    private ByteArrayOutputStream unfinished = new ByteArrayOutputStream();
+    private UnfinishedLine unfinished = new UnfinishedLine();
+
+    private static final class UnfinishedLine extends ByteArrayOutputStream {
+        int capacity() {
+            return buf.length;
+        }
+    }
 
     /**
      * Creates a decoder.
@@ -44,10 +50,15 @@
         return unfinished.size();
     }
 
+    /** Returns the memory that the unfinished line takes, in bytes; 0 if there is none. */
+    public int memoryBytes() {
+        return unfinished.size() == 0 ? 0 : unfinished.capacity();
+    }
+
     /** Returns the unfinished line and removes it from the decoder. */
     public String takeUnfinished() {
         String line = unfinished.toString(StandardCharsets.UTF_8).trim();
-        unfinished = new ByteArrayOutputStream();
+        unfinished = new UnfinishedLine();
         return line;
     }
 }
--- a/src/test/java/damsonslip/engine/RequestContextTest.java
+++ b/src/test/java/damsonslip/engine/RequestContextTest.java
@@ -8,7 +8,10 @@
 import damsonslip.policy.api.AttemptOutcome;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class RequestContextTest {
     private static final long DEADLINE_US = 1_000_000;
@@ -17,11 +20,11 @@
     private final List<Response> responses = new ArrayList<>();
     private final RequestContext context =
             new RequestContext(
-                    request(), responses::add, (answered, response) -> observed.add(response));
+                    request(null), responses::add, (answered, response) -> observed.add(response));
 
-    private static Request request() {
+    private static Request request(Request.Payload payload) {
         return new Request(
-                "q", 0, 0, DEADLINE_US, DEADLINE_US, 1, 0, null, Integer.MAX_VALUE, null, null);
+                "q", 0, 0, DEADLINE_US, DEADLINE_US, 1, 0, null, Integer.MAX_VALUE, null, payload);
     }
 
     private Attempt attempt() {
@@ -57,6 +60,28 @@
         assertEquals(RequestContext.State.ANSWERED, context.state());
     }
 
+    /** Attempts of a closed request may be open for long; its content is not needed any more. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void releasesPayloadOnceClosed(boolean answered) {
+        AtomicInteger releases = new AtomicInteger();
+        RequestContext closing =
+                new RequestContext(
+                        request(payload(releases)), responses::add, (context, response) -> {});
+        assertEquals(0, releases.get());
+        assertTrue(answered ? closing.answer(Response.failed(false)) : closing.abandon());
+        assertEquals(1, releases.get());
+    }
+
+    private static Request.Payload payload(AtomicInteger releases) {
+        return new Request.Payload() {
+            @Override
+            public void release() {
+                releases.incrementAndGet();
+            }
+        };
+    }
+
     @Test
     void isFinishedOnceClosedWithoutOpenAttempt() {
         attempt();
--- a/src/test/java/damsonslip/platform/ConnectionMemoryTest.java
+++ b/src/test/java/damsonslip/platform/ConnectionMemoryTest.java
@@ -5,6 +5,8 @@
 import damsonslip.testkit.Peer;
 import damsonslip.testkit.Program;
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +30,11 @@
 
     private static final int LISTED_WORKERS = 150;
 
+    /** As many jobs as a worker whose capacity is unknown gets at once. */
+    private static final int ABANDONED = 3;
+
+    private static final int LARGEST_BODY_BYTES = 64 * 1024;
+
     private static final String MANY_FIELDS =
             IntStream.range(0, 1_000)
                     .mapToObj(i -> Integer.toString(i, Character.MAX_RADIX) + ":b\r\n")
@@ -55,9 +62,13 @@
 
     /** Starts the program and sends some requests, after which all classes are loaded. */
     private void startWarm(String... entries) throws IOException {
+        startWarm(config(list(7, true, entries)));
+    }
+
+    private void startWarm(Path config) throws IOException {
         program =
                 new Program(
-                                config(list(7, true, entries)),
+                                config,
                                 Map.of("DAMSONSLIP_CONSOLE", "127.0.0.1:" + console),
                                 List.of(HEAP_OF_DEPLOY_FILE),
                                 "serve")
@@ -84,7 +95,6 @@
     }
 
     private static void assertAtMost(long limit, long bytes) {
-
         assertTrue(bytes <= limit, bytes + " bytes for each connection");
     }
 
@@ -115,6 +125,39 @@
         assertAtMost(MAX_BYTES, bytes);
     }
 
+    /** The limit on clients' requests counts three bytes for each byte of an incomplete head. */
+    @Test
+    void longHeadHoldsNoMoreThanIsCounted() throws Exception {
+        startWarm(worker("a", SERVE));
+        String head = "POST /api HTTP/1.1\r\nContent-Type: " + "x".repeat(7_500) + "\r\n";
+        assertAtMost(
+                MAX_BYTES + 3L * head.length(), bytesForEach((client, i) -> client.send(head)));
+    }
+
+    /** Where attempts may not be cancelled, they stay open after their client has disconnected. */
+    @Test
+    void bodiesOfAbandonedRequestsAreReleased() throws Exception {
+        String entry = worker("w", UNLESS_WARM_NO_RESPONSE);
+        Path file = config(list(7, true, entry));
+        Files.writeString(
+                file,
+                Files.readString(file).replace("\"may_cancel\":true", "\"may_cancel\":false"));
+        startWarm(file);
+        long before = program.liveHeapBytes();
+        for (int i = 0; i < ABANDONED; i++) {
+            clients.add(Peer.connect(port).send(largeRequest("a" + i, LARGEST_BODY_BYTES)));
+        }
+        Program.await("all are at the worker", () -> abandonedJobs() == ABANDONED, program);
+        closeClients();
+        Program.await("all are abandoned", () -> counts("queries_gone", ABANDONED), program);
+        long held = program.liveHeapBytes() - before;
+        assertTrue(held < ABANDONED * LARGEST_BODY_BYTES / 2, held + " bytes");
+    }
+
+    private long abandonedJobs() {
+        return ids("w").stream().filter(id -> id != null && id.startsWith("a")).count();
+    }
+
     /** Besides the clients' connections there are those to the workers, for jobs and probes. */
     @Test
     void connectionsToWorkersHoldLittle() throws Exception {
--- a/src/test/java/damsonslip/platform/codec/RequestReaderTest.java
+++ b/src/test/java/damsonslip/platform/codec/RequestReaderTest.java
@@ -70,6 +70,23 @@
         assertEquals(persistent, reader.isPersistent());
     }
 
+    /**
+     * Limits count what a head takes, which is more than its bytes; the body is counted as it is.
+     */
+    @Test
+    void countsMemoryOfHeadAndBody() throws Exception {
+        String head = REQUEST.replace("POST /api", "POST /api?" + "x".repeat(7_000));
+        int headBytes = head.length() - "body".length();
+        reader.read(bytes(head.substring(0, headBytes - 1)));
+        int incompleteHead = reader.incompleteBytes();
+        assertTrue(incompleteHead > 2 * headBytes, incompleteHead + " bytes");
+        reader.read(bytes("\nbod"));
+        assertTrue(reader.incompleteBytes() > incompleteHead);
+        HttpRequest request = reader.read(bytes("y"));
+        assertEquals(0, reader.incompleteBytes());
+        assertTrue(request.memoryBytes() > 7_000, request.memoryBytes() + " bytes");
+    }
+
     @Test
     void reportsExpectationOfContinueOnce() throws Exception {
         String head = "POST /api HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n";
--- a/src/test/java/damsonslip/transport/LineDecoderTest.java
+++ b/src/test/java/damsonslip/transport/LineDecoderTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -26,6 +27,15 @@
         assertEquals(0, decoder.unfinishedBytes());
     }
 
+    @Test
+    void countsMemoryOfUnfinishedLineOnly() {
+        assertEquals(0, decoder.memoryBytes());
+        decode("one\ntw");
+        assertTrue(decoder.memoryBytes() >= decoder.unfinishedBytes());
+        decode("o\n");
+        assertEquals(0, decoder.memoryBytes());
+    }
+
     @Test
     void rejectsUnfinishedLineAboveBound() {
         assertEquals(List.of(), decode("12345678"));
