A job's timers end with its final answer

Cause: SetTimer has no owner, so the engine could not tell which timers were superfluous.

Change: SetTimer names the job that it is for; RequestContext cancels its timers when it is closed.

Result: RequestContextTest#cancelsTimersOnceClosed failed before (nothing cancelled a timer); tests of engine and policy pass.

--- a/src/main/java/damsonslip/engine/ActionExecutor.java
+++ b/src/main/java/damsonslip/engine/ActionExecutor.java
@@ -82,7 +82,7 @@
             counters.add(Count.PROBES_SENT);
             gateway.get().probe(probe.worker(), probe.connectedBeforeUs());
         } else if (action instanceof SetTimer timer) {
-            loop.scheduleAt(timer.atUs(), () -> eventSink.accept(new TimerDue(timer.label())));
+            setTimer(timer);
         } else if (action instanceof WatchWorkerList) {
             trace.workerListRequested();
             gateway.get().watchWorkerList();
@@ -90,4 +90,17 @@
             LOG.info(log.text());
         }
     }
+
+    /** Sets a timer, unless it is for a job that has its final answer. */
+    private void setTimer(SetTimer timer) {
+        Runnable due = () -> eventSink.accept(new TimerDue(timer.label()));
+        if (timer.job() == null) {
+            loop.scheduleAt(timer.atUs(), due);
+            return;
+        }
+        RequestContext context = requests.find(timer.job());
+        if (context != null) {
+            context.schedule(loop, timer.atUs(), due);
+        }
+    }
 }
--- a/src/main/java/damsonslip/engine/RequestContext.java
+++ b/src/main/java/damsonslip/engine/RequestContext.java
@@ -40,6 +40,10 @@
     private final ResponseListener listener;
     private final BiConsumer<RequestContext, Response> responseObserver;
     private final List<Attempt> attempts = new ArrayList<>(1);
+
+    /** The timers that have to be cancelled once the request is closed. */
+    private final List<EventLoop.Timer> timers = new ArrayList<>(1);
+
     private State state = State.OPEN;
     private int openAttempts;
     private long retryUntilUs = Long.MAX_VALUE;
@@ -78,6 +82,22 @@
         return attempts;
     }
 
+    /** Runs a task at a time, on the loop's clock, unless the request is closed by then. */
+    void schedule(EventLoop loop, long timeUs, Runnable task) {
+        if (isClosed()) {
+            return;
+        }
+        EventLoop.Timer[] timer = new EventLoop.Timer[1];
+        timer[0] =
+                loop.scheduleAt(
+                        timeUs,
+                        () -> {
+                            timers.remove(timer[0]);
+                            task.run();
+                        });
+        timers.add(timer[0]);
+    }
+
     /** Adds an attempt, which counts as open until {@link #attemptEnded}. */
     void add(Attempt attempt) {
         attempts.add(attempt);
@@ -148,6 +168,8 @@
             return false;
         }
         state = next;
+        timers.forEach(EventLoop.Timer::cancel);
+        timers.clear();
         if (request.payload() != null) {
             request.payload().release();
         }
--- a/src/main/java/damsonslip/policy/AttemptMigration.java
+++ b/src/main/java/damsonslip/policy/AttemptMigration.java
@@ -59,7 +59,7 @@
                 && context.settings().limits().mayCancel()
                 && !job.hasAffinity()
                 && !job.hasIdempotency(Idempotency.NOT_IDEMPOTENT)) {
-            context.setTimerIn(firstCheckDelayUs(job), TimerLabels.attemptStart(job.id()));
+            setCheckTimer(firstCheckDelayUs(job), job);
         }
     }
 
@@ -90,10 +90,14 @@
             budget--;
             context.emit(new Cancel(job.id(), job.attempts().size() - 1));
         } else {
-            context.setTimerIn(CHECK_INTERVAL_US, TimerLabels.attemptStart(job.id()));
+            setCheckTimer(CHECK_INTERVAL_US, job);
         }
     }
 
+    private void setCheckTimer(long delayUs, Job job) {
+        context.setJobTimerAt(context.nowUs() + delayUs, TimerLabels.attemptStart(job.id()), job);
+    }
+
     private boolean isCandidate(Job job, JobAttempt attempt) {
         Limits limits = context.settings().limits();
         return attempt.isOpen()
--- a/src/main/java/damsonslip/policy/DecisionContext.java
+++ b/src/main/java/damsonslip/policy/DecisionContext.java
@@ -62,6 +62,11 @@
 
     /** Appends a timer that is due at this time. */
     void setTimerAt(long timeUs, String label) {
-        actions.add(new SetTimer(timeUs, label));
+        actions.add(new SetTimer(timeUs, label, null));
+    }
+
+    /** Appends a timer that is due at this time, unless the job has its final answer by then. */
+    void setJobTimerAt(long timeUs, String label, Job job) {
+        actions.add(new SetTimer(timeUs, label, job.id()));
     }
 }
--- a/src/main/java/damsonslip/policy/SchedulingPolicy.java
+++ b/src/main/java/damsonslip/policy/SchedulingPolicy.java
@@ -206,7 +206,7 @@
         int affinityWorkers = fleet.selector.countAffinityWorkers(pool, arrival.affinityKey());
         Job job = jobs.add(arrival, pool, affinityWorkers, context.nowUs());
         long answerUs = arrival.deadlineUs() - context.settings().tickUs();
-        context.setTimerAt(answerUs, TimerLabels.jobDeadline(job.id()));
+        context.setJobTimerAt(answerUs, TimerLabels.jobDeadline(job.id()), job);
         jobComponents.admission.admit(job);
     }
 
--- a/src/main/java/damsonslip/policy/api/SetTimer.java
+++ b/src/main/java/damsonslip/policy/api/SetTimer.java
@@ -1,4 +1,9 @@
 package damsonslip.policy.api;
 
-/** Deliver {@link TimerDue} with this label at this time. */
-public record SetTimer(long atUs, String label) implements Action {}
+/**
+ * Requests a {@link TimerDue} event with this label at a time.
+ *
+ * @param job the job that the timer is for, whose final answer makes it superfluous; null if it is
+ *     for none
+ */
+public record SetTimer(long atUs, String label, String job) implements Action {}
--- a/src/test/java/damsonslip/engine/RequestContextTest.java
+++ b/src/test/java/damsonslip/engine/RequestContextTest.java
@@ -8,6 +8,8 @@
 import damsonslip.policy.api.AttemptOutcome;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -73,6 +75,30 @@
         assertEquals(1, releases.get());
     }
 
+    /** A timer that outlives its request holds its memory for up to the class's limit. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void cancelsTimersOnceClosed(boolean answered) throws Exception {
+        EventLoop loop = new EventLoop();
+        long inOneHourUs = loop.nowUs() + TimeUnit.HOURS.toMicros(1);
+        context.schedule(loop, inOneHourUs, () -> {});
+        assertEquals(1, loop.executor().getQueue().size());
+        assertTrue(answered ? context.answer(Response.failed(false)) : context.abandon());
+        assertEquals(0, loop.executor().getQueue().size());
+        context.schedule(loop, inOneHourUs, () -> {});
+        assertEquals(0, loop.executor().getQueue().size());
+        loop.stop();
+    }
+
+    @Test
+    void runsTimerOfOpenRequest() throws Exception {
+        EventLoop loop = new EventLoop();
+        CountDownLatch due = new CountDownLatch(1);
+        context.schedule(loop, loop.nowUs(), due::countDown);
+        assertTrue(due.await(10, TimeUnit.SECONDS));
+        loop.stop();
+    }
+
     private static Request.Payload payload(AtomicInteger releases) {
         return new Request.Payload() {
             @Override
