The ids of earlier requests take a fixed amount of memory

An id may have nearly 8 KB. The latest 4,000 ids took up to 32 MB, and the event log up to 8 MB for each of id and reason.

Cause: both hold as many texts as they have entries, whatever the texts' length.

EventLog shortens texts to 256 characters.

Result: ConnectionMemoryTest#longIdsHoldLittle failed before with 8.8 KB for each connection that has sent an id of 3,000 characters (bound 4 KB), and passes. EventLogTest#shortensLongTexts failed before with 16,054 characters.

--- a/src/main/java/damsonslip/engine/EventLog.java
+++ b/src/main/java/damsonslip/engine/EventLog.java
@@ -62,6 +62,9 @@
 
     private static final int CAPACITY = 1_024;
 
+    /** Longer ids and texts of peers are shortened, so that the log takes little memory. */
+    private static final int MAX_TEXT_LENGTH = 256;
+
     /** A ring buffer: the entry with sequence number n is at index n modulo the capacity. */
     private final Entry[] entries = new Entry[CAPACITY];
 
@@ -74,7 +77,8 @@
      * @param figure a number whose meaning depends on the kind
      */
     public void add(long atUs, Kind kind, String id, Object detail, long figure) {
-        entries[index(nextSequence)] = new Entry(atUs, kind, id, detail, figure);
+        Object shownDetail = detail instanceof String text ? shorten(text) : detail;
+        entries[index(nextSequence)] = new Entry(atUs, kind, shorten(id), shownDetail, figure);
         nextSequence++;
     }
 
@@ -86,16 +90,21 @@
      */
     public List<String> newest(int limit, String id) {
         List<String> found = new ArrayList<>();
+        String loggedId = shorten(id);
         long oldest = Math.max(0, nextSequence - CAPACITY);
         for (long i = nextSequence - 1; i >= oldest && found.size() < limit; i--) {
             Entry entry = entries[index(i)];
-            if (id.isEmpty() || entry.id().equals(id)) {
+            if (id.isEmpty() || entry.id().equals(loggedId)) {
                 found.add(0, entry.toString());
             }
         }
         return found;
     }
 
+    private static String shorten(String text) {
+        return text.length() <= MAX_TEXT_LENGTH ? text : text.substring(0, MAX_TEXT_LENGTH);
+    }
+
     private static int index(long sequence) {
         return (int) (sequence % CAPACITY);
     }
--- a/src/main/java/damsonslip/platform/client/ClientServer.java
+++ b/src/main/java/damsonslip/platform/client/ClientServer.java
@@ -80,7 +80,7 @@
     private final ConnectionLimiter<ClientConnection> limiter;
     private final SharedBufferLimit<ClientConnection> requestMemory =
             SharedBufferLimit.partOfHeap(REQUEST_HEAP_DIVISOR);
-    private final RecentRequestIds recentIds = new RecentRequestIds();
+    private final RequestIds requestIds = new RequestIds();
     private long nextMemoryLogUs;
     private long latestDeadlineUs = Long.MAX_VALUE;
 
@@ -216,10 +216,9 @@
      * @throws BadRequestException if the id was used before
      */
     RequestContext admit(Request request, ClientConnection connection) throws BadRequestException {
-        if (engine.isIdInUse(request.id()) || recentIds.contains(request.id())) {
+        if (engine.isIdInUse(request.id()) || !requestIds.claim(request.id())) {
             throw BadRequestException.duplicateId(request.id());
         }
-        recentIds.add(request.id());
         return engine.submit(request, connection);
     }
 
--- a/src/main/java/damsonslip/platform/client/package-info.java
+++ b/src/main/java/damsonslip/platform/client/package-info.java
@@ -5,8 +5,8 @@
  * <ul>
  *   <li>{@link damsonslip.platform.client.ClientServer} owns the connections and their limit.
  *   <li>{@code ClientConnection} is one connection with its state machine.
- *   <li>{@code ArrivalTimes} records when requests arrived, for their deadlines; {@code
- *       RecentRequestIds} serves to detect duplicates.
+ *   <li>{@code ArrivalTimes} records when requests arrived, for their deadlines; {@code RequestIds}
+ *       serves to detect duplicates.
  * </ul>
  *
  * <p>Everything runs on the event loop, except the acceptor's methods of {@code ClientServer}.
--- a/src/test/java/damsonslip/engine/EventLogTest.java
+++ b/src/test/java/damsonslip/engine/EventLogTest.java
@@ -1,6 +1,7 @@
 package damsonslip.engine;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import damsonslip.engine.EventLog.Kind;
 import java.util.List;
@@ -26,6 +27,16 @@
         assertEquals(List.of("1 taken id=q detail=0 figure=9"), log.newest(10, "q"));
     }
 
+    /** A thousand ids and reasons of 8 KB each would take an eighth of a small heap. */
+    @Test
+    void shortensLongTexts() {
+        String longId = "q".repeat(8_000);
+        log.add(1, Kind.REFUSED_AS_BAD, longId, "unknown class: " + longId, 400);
+        List<String> found = log.newest(10, longId);
+        assertEquals(1, found.size());
+        assertTrue(found.get(0).length() < 1_000, found.get(0).length() + " characters");
+    }
+
     @Test
     void dropsTheOldestEventsWhenItIsFull() {
         for (int i = 0; i < 1_025; i++) {
--- a/src/test/java/damsonslip/platform/ConnectionMemoryTest.java
+++ b/src/test/java/damsonslip/platform/ConnectionMemoryTest.java
@@ -125,6 +125,19 @@
         assertAtMost(MAX_BYTES, bytes);
     }
 
+    /** Ids are remembered after their request, to recognize duplicates. */
+    @Test
+    void longIdsHoldLittle() throws Exception {
+        startWarm(worker("a", SERVE));
+        String rest = "x".repeat(3_000);
+        long bytes =
+                bytesForEach(
+                        (client, i) ->
+                                client.send(requestText("a" + i + rest, "read", "4000m"))
+                                        .message());
+        assertAtMost(MAX_BYTES, bytes);
+    }
+
     /** The limit on clients' requests counts three bytes for each byte of an incomplete head. */
     @Test
     void longHeadHoldsNoMoreThanIsCounted() throws Exception {
