A process keeps no more connections than its heap has room for

The parts of the heap that limits give to peers stood in four places, and nothing held their sum.

Change: HeapShare names the parts; those of a front are two thirds of the heap together.

--- a/src/main/java/damsonslip/faktory/Faktory.java
+++ b/src/main/java/damsonslip/faktory/Faktory.java
@@ -18,9 +18,11 @@
 import damsonslip.transport.Address;
 import damsonslip.transport.ConnectionLimiter;
 import damsonslip.transport.ConnectionManager;
+import damsonslip.transport.ConnectionMemory;
 import damsonslip.transport.EventLoopConnection;
 import damsonslip.transport.LimitedAcceptor;
 import damsonslip.transport.datarate.BufferBudget;
+import damsonslip.transport.datarate.HeapShare;
 import damsonslip.transport.datarate.MinimumDataRate;
 import damsonslip.transport.datarate.SharedBufferLimit;
 import java.io.Closeable;
@@ -51,15 +53,6 @@
      */
     private static final int OVERFLOW_DIVISOR = 8;
 
-    /**
-     * Commands that are incomplete or being handled may together hold one part in this many of the
-     * heap, as their text; decoded, they take several times as much.
-     */
-    private static final int COMMAND_HEAP_DIVISOR = 16;
-
-    /** Replies that are not read may together hold one part in this many of the heap. */
-    private static final int REPLY_HEAP_DIVISOR = 8;
-
     /** The interval of the check for slow peers, and so the maximum delay until one is detected. */
     private static final long SLOW_PEER_CHECK_US = 500_000;
 
@@ -76,7 +69,7 @@
 
     /** The memory of the commands that are incomplete or being handled. */
     private final SharedBufferLimit<FaktoryConnection> commandMemory =
-            SharedBufferLimit.partOfHeap(COMMAND_HEAP_DIVISOR);
+            SharedBufferLimit.of(HeapShare.COMMANDS);
 
     private volatile Closeable listener;
 
@@ -95,8 +88,8 @@
             throws ConfigurationException {
         super(
                 new ConnectionLimiter<>(
-                        config.maxConnections(),
-                        config.maxConnections() / OVERFLOW_DIVISOR,
+                        maxConnections(config),
+                        maxConnections(config) / OVERFLOW_DIVISOR,
                         connection -> !connection.isHandshakeComplete(),
                         Comparator.comparingLong(FaktoryConnection::openedUs)));
         this.loop = loop;
@@ -114,6 +107,13 @@
         loop.repeatAfter(SLOW_PEER_CHECK_US, this::closeSlowPeers);
     }
 
+    /** The configured number of connections, unless the heap has less room. */
+    private static int maxConnections(FaktoryConfig config) {
+        int withoutOverflow =
+                ConnectionMemory.maxConnections() * OVERFLOW_DIVISOR / (OVERFLOW_DIVISOR + 1);
+        return Math.min(config.maxConnections(), withoutOverflow);
+    }
+
     private static JobStore createStore(FaktoryConfig config) throws ConfigurationException {
         if (!config.hasPersistentStore()) {
             return new MemoryStore();
@@ -274,7 +274,7 @@
 
     /** Closes the slowest readers if the replies that are not read hold too much memory. */
     void enforceReplyMemory() {
-        long maxBytes = Runtime.getRuntime().maxMemory() / REPLY_HEAP_DIVISOR;
+        long maxBytes = HeapShare.REPLIES.bytes();
         List<BufferBudget.Usage<FaktoryConnection>> usages =
                 limiter().connections().stream()
                         .map(FaktoryConnection::replyUsage)
--- a/src/main/java/damsonslip/platform/client/ClientServer.java
+++ b/src/main/java/damsonslip/platform/client/ClientServer.java
@@ -24,6 +24,7 @@
 import damsonslip.transport.ListeningPort;
 import damsonslip.transport.OutboundRateMonitor;
 import damsonslip.transport.datarate.BufferBudget;
+import damsonslip.transport.datarate.HeapShare;
 import damsonslip.transport.datarate.MinimumDataRate;
 import damsonslip.transport.datarate.SharedBufferLimit;
 import java.io.IOException;
@@ -56,15 +57,6 @@
      */
     static final int MAX_PIPELINED_BYTES = WireFormat.MAX_HEADER_BYTES + WireFormat.MAX_BODY_BYTES;
 
-    /** Unread responses may together hold one part in this many of the heap. */
-    private static final int RESPONSE_HEAP_DIVISOR = 8;
-
-    /**
-     * What clients have sent and no response was given for may together hold one part in this many
-     * of the heap.
-     */
-    private static final int REQUEST_HEAP_DIVISOR = 4;
-
     /** Hundreds of clients may exceed the limit at once; a line for each would flood the log. */
     private static final long MEMORY_LOG_INTERVAL_US = 1_000_000;
 
@@ -79,7 +71,7 @@
     private final Counters counters;
     private final ConnectionLimiter<ClientConnection> limiter;
     private final SharedBufferLimit<ClientConnection> requestMemory =
-            SharedBufferLimit.partOfHeap(REQUEST_HEAP_DIVISOR);
+            SharedBufferLimit.of(HeapShare.CLIENT_REQUESTS);
     private final RequestIds requestIds = new RequestIds();
     private long nextMemoryLogUs;
     private long latestDeadlineUs = Long.MAX_VALUE;
@@ -270,10 +262,9 @@
         if (!newest.isWatching()) {
             return;
         }
-        long budget = Runtime.getRuntime().maxMemory() / RESPONSE_HEAP_DIVISOR;
         List<ClientConnection> overBudget =
                 BufferBudget.chooseOverBudget(
-                        budget,
+                        HeapShare.CLIENT_RESPONSES.bytes(),
                         slowReaders()
                                 .map(reader -> reader.responseMonitor().bufferUsage(reader))
                                 .toList());
--- a/src/main/java/damsonslip/platform/worker/ResponseMemory.java
+++ b/src/main/java/damsonslip/platform/worker/ResponseMemory.java
@@ -1,6 +1,7 @@
 package damsonslip.platform.worker;
 
 import damsonslip.engine.EventLoop;
+import damsonslip.transport.datarate.HeapShare;
 import damsonslip.transport.datarate.SharedBufferLimit;
 
 /**
@@ -9,12 +10,9 @@
  * otherwise fill the heap over all connections. Used on the event loop only.
  */
 final class ResponseMemory {
-    /** Incomplete responses may together hold one part in this many of the heap. */
-    private static final int HEAP_DIVISOR = 8;
-
     private final EventLoop loop;
     private final SharedBufferLimit<WorkerConnection> limit =
-            SharedBufferLimit.partOfHeap(HEAP_DIVISOR);
+            SharedBufferLimit.of(HeapShare.WORKER_RESPONSES);
 
     ResponseMemory(EventLoop loop) {
         this.loop = loop;
--- a/src/main/java/damsonslip/transport/datarate/SharedBufferLimit.java
+++ b/src/main/java/damsonslip/transport/datarate/SharedBufferLimit.java
@@ -40,13 +40,9 @@
         this.maxBytes = maxBytes;
     }
 
-    /**
-     * Creates a limit that is a part of the heap.
-     *
-     * @param divisor one part in this many is the maximum
-     */
-    public static <C> SharedBufferLimit<C> partOfHeap(int divisor) {
-        return new SharedBufferLimit<>(Runtime.getRuntime().maxMemory() / divisor);
+    /** Creates a limit that is a part of the heap. */
+    public static <C> SharedBufferLimit<C> of(HeapShare share) {
+        return new SharedBufferLimit<>(share.bytes());
     }
 
     /**
