Faktory: limits count what commands take decoded, and bytes and lines read ahead

With 32 MB of heap the server ended when 790 workers fetched from 1,400 queues each, and when 790 producers pushed 85 or 1,000 small jobs at once while the store did not answer.

Cause: commands were counted as their text. The names of a FETCH take 50 bytes and more each, while it waits and afterwards (up to 1,000 for each worker), a job that is being pushed a kilobyte. Lines that a peer has sent ahead were decoded all at once, and its read buffer was not counted. A worker's id could have 16 KB.

Change: Command.decodedBytes is counted with the text; beyond the limit the command gets an error. At most 16 lines are decoded ahead, the rest stays in the read buffer, which is counted. Queue names are remembered for all workers together, 20,000 at the most. A wid, or host name and pid, of more than 256 characters gets an error.

--- a/src/main/java/damsonslip/faktory/Consumers.java
+++ b/src/main/java/damsonslip/faktory/Consumers.java
@@ -58,7 +58,7 @@
             loop.scheduleAfter(FETCH_TIMEOUT_US, () -> connection.reply(Reply.nullBulk()));
             return;
         }
-        worker.recordFetch(queues, loop.nowUs());
+        worker.recordFetch(queues, registry.maxQueuesOfWorker(), loop.nowUs());
         PendingFetch fetch = new PendingFetch(connection, queues, loop.nowUs());
         fetch.setTimeout(loop.scheduleAfter(FETCH_TIMEOUT_US, () -> timeOut(worker, fetch)));
         worker.pendingFetches.add(fetch);
--- a/src/main/java/damsonslip/faktory/FaktoryConnection.java
+++ b/src/main/java/damsonslip/faktory/FaktoryConnection.java
@@ -31,6 +31,12 @@
      */
     private static final int ALWAYS_ACCEPTED_BYTES = 4 * 1024;
 
+    /** How many lines are decoded ahead; the bytes of further ones stay in the read buffer. */
+    private static final int MAX_PENDING_LINES = 16;
+
+    /** The maximum length of a worker's id, and of its host and process id together. */
+    private static final int MAX_WORKER_NAME_LENGTH = 256;
+
     private static final CommandError OUT_OF_MEMORY =
             CommandError.error("too much is being sent here at once; come back in a moment");
 
@@ -57,7 +63,7 @@
     private long openedUs;
     private boolean handshakeComplete;
 
-    /** Whether the connection is being closed for the memory that it held. */
+    /** Whether nothing more is decoded, since the connection is being closed. */
     private boolean discarded;
 
     /** Whether a command is being handled or its reply is being written. */
@@ -106,29 +112,43 @@
 
     @Override
     protected void received(ByteBuffer bytes) {
-        if (commandInProgress || discarded) {
-            return; // pipelined bytes stay unread, which bounds the memory for a peer
+        while (!commandInProgress && !discarded && !isClosed() && bytes.hasRemaining()) {
+            decode(bytes);
+        }
+        // pipelined bytes stay unread, which bounds the memory for a peer
+        recordIncomplete(bytes);
+        faktory.enforceCommandMemory();
+    }
+
+    /** Records the memory of an incomplete command and of the bytes that are not decoded yet. */
+    private void recordIncomplete(ByteBuffer unread) {
+        if (!discarded && !isClosed()) {
+            int unreadBytes = unread.hasRemaining() ? unread.capacity() : 0;
+            faktory.commandMemory()
+                    .setIncomplete(
+                            this, decoder.memoryBytes() + unreadBytes, faktory.loop().nowUs());
         }
-        byte[] data = new byte[bytes.remaining()];
-        bytes.get(data);
-        List<String> lines = decoder.decode(data);
+    }
+
+    private void decode(ByteBuffer bytes) {
+        int before = bytes.remaining();
+        List<String> lines = decoder.decode(bytes, MAX_PENDING_LINES);
         if (lines == null || (!handshakeComplete && decoder.unfinishedBytes() > MAX_HELLO_BYTES)) {
+            discarded = true;
+            discardReadAhead();
             closeWithError("a line too long");
             return;
         }
-        int completeBytes = incompleteBytes + data.length - decoder.unfinishedBytes();
+        int decodedBytes = before - bytes.remaining();
+        int completeBytes = incompleteBytes + decodedBytes - decoder.unfinishedBytes();
         incompleteBytes = decoder.unfinishedBytes();
-        faktory.commandMemory().setIncomplete(this, decoder.memoryBytes(), faktory.loop().nowUs());
-        measureSending(data.length, !lines.isEmpty());
+        measureSending(decodedBytes, !lines.isEmpty());
         if (!lines.isEmpty() && !accept(completeBytes)) {
             closeForMemory();
             return;
         }
-        faktory.enforceCommandMemory();
-        if (!discarded) {
-            pendingLines.addAll(lines);
-            handleNext();
-        }
+        pendingLines.addAll(lines);
+        handleNext();
     }
 
     /** Accepts complete commands of this size, unless all commands hold too much memory. */
@@ -252,10 +272,12 @@
     private void handle(String line) {
         try {
             Command command = CommandDecoder.decode(line);
-            if (handshakeComplete) {
+            if (!handshakeComplete) {
+                handleHello(command);
+            } else if (accept(command.decodedBytes())) {
                 faktory.handle(this, command);
             } else {
-                handleHello(command);
+                reply(Reply.error(OUT_OF_MEMORY));
             }
         } catch (MalformedCommandException e) {
             if (handshakeComplete) {
@@ -290,6 +312,10 @@
             faktory.countWrongPassword();
             throw new MalformedCommandException("invalid password");
         }
+        if (hello.wid().length() > MAX_WORKER_NAME_LENGTH
+                || hello.process().length() > MAX_WORKER_NAME_LENGTH) {
+            throw new MalformedCommandException("wid, hostname or pid is too long");
+        }
         handshakeComplete = true;
         worker = hello.wid().isEmpty() ? null : faktory.register(hello, this);
         reply(Reply.ok());
--- a/src/main/java/damsonslip/faktory/Worker.java
+++ b/src/main/java/damsonslip/faktory/Worker.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -16,11 +17,8 @@
  * A worker process: its connections, pending fetches and used slots. Confined to the event loop.
  */
 final class Worker {
-    /**
-     * The maximum number of queue names stored for one worker, which bounds the memory that a
-     * faulty one can use.
-     */
-    private static final int MAX_QUEUES = 1_000;
+    /** The maximum length of a queue's name; no job can be in one with a longer name. */
+    private static final int MAX_QUEUE_NAME_LENGTH = 256;
 
     final String wid;
 
@@ -90,12 +88,24 @@
         slots = Math.max(visibleSlots(), slots - 1);
     }
 
-    void recordFetch(List<String> queues, long nowUs) {
+    /**
+     * Records a FETCH.
+     *
+     * @param maxQueues how many queues are remembered at most
+     */
+    void recordFetch(List<String> queues, int maxQueues, long nowUs) {
         lastHeartbeatUs = nowUs; // a FETCH proves that the worker is alive
-        queues.forEach(queue -> lastFetchUs.put(queue, nowUs));
-        if (lastFetchUs.size() > MAX_QUEUES) {
+        queues.stream()
+                .filter(queue -> queue.length() <= MAX_QUEUE_NAME_LENGTH)
+                .forEach(queue -> lastFetchUs.put(queue, nowUs));
+        if (lastFetchUs.size() > maxQueues) {
             lastFetchUs.values().removeIf(at -> at < nowUs);
         }
+        Iterator<String> remembered = lastFetchUs.keySet().iterator();
+        while (lastFetchUs.size() > maxQueues) {
+            remembered.next();
+            remembered.remove();
+        }
     }
 
     /** Whether it has fetched from this queue since then, or a FETCH from the queue is pending. */
--- a/src/main/java/damsonslip/faktory/WorkerRegistry.java
+++ b/src/main/java/damsonslip/faktory/WorkerRegistry.java
@@ -44,6 +44,9 @@
      */
     private static final long RECENT_FETCH_US = 30_000_000;
 
+    /** How many names of queues are remembered for all workers: some 8 MB of the longest names. */
+    private static final int MAX_REMEMBERED_QUEUES = 20_000;
+
     private final EventLoop loop;
     private final SiteSettings site;
     private final SchedulerEngine engine;
@@ -65,6 +68,11 @@
         loop.repeatAfter(SWEEP_INTERVAL_US, this::sweep);
     }
 
+    /** How many queues are remembered for each worker: all together take a bounded memory. */
+    int maxQueuesOfWorker() {
+        return Math.max(1, MAX_REMEMBERED_QUEUES / Math.max(1, workers.size()));
+    }
+
     Collection<Worker> all() {
         return workers.values();
     }
--- a/src/main/java/damsonslip/faktory/codec/Command.java
+++ b/src/main/java/damsonslip/faktory/codec/Command.java
@@ -10,6 +10,14 @@
     /** Calls the visitor's method for this type of command. */
     <C> void accept(Visitor<C> visitor, C context);
 
+    /**
+     * Returns the memory that the command takes until its reply beside its text, in bytes, if that
+     * may be many times the text's size.
+     */
+    default int decodedBytes() {
+        return 0;
+    }
+
     /**
      * Handles commands, with one method for each type.
      *
@@ -91,6 +99,14 @@
      * @param bulk whether it is PUSHB, whose reply lists the errors by job
      */
     record Push(List<JsonNode> jobs, boolean bulk) implements Command {
+        /** What a job takes while it is written to the store. */
+        private static final int BYTES_PER_JOB = 1_024;
+
+        @Override
+        public int decodedBytes() {
+            return jobs.size() * BYTES_PER_JOB;
+        }
+
         @Override
         public <C> void accept(Visitor<C> visitor, C context) {
             visitor.visit(this, context);
@@ -99,6 +115,13 @@
 
     /** A worker has a free slot and requests a job from the first of these queues that has one. */
     record Fetch(List<String> queues) implements Command {
+        private static final int BYTES_PER_NAME = 64;
+
+        @Override
+        public int decodedBytes() {
+            return queues.size() * BYTES_PER_NAME;
+        }
+
         @Override
         public <C> void accept(Visitor<C> visitor, C context) {
             visitor.visit(this, context);
--- a/src/main/java/damsonslip/transport/LineDecoder.java
+++ b/src/main/java/damsonslip/transport/LineDecoder.java
@@ -1,6 +1,7 @@
 package damsonslip.transport;
 
 import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -32,19 +33,39 @@
      * Returns the lines that are completed by these bytes; null if the unfinished line is too long.
      */
     public List<String> decode(byte[] bytes) {
+        return decode(ByteBuffer.wrap(bytes), Integer.MAX_VALUE);
+    }
+
+    /**
+     * Returns the lines that are completed by these bytes, up to a number; null if the unfinished
+     * line is too long. Short lines take many times the memory of their bytes.
+     *
+     * @param bytes those behind the last line that is returned are left unread
+     */
+    public List<String> decode(ByteBuffer bytes, int maxLines) {
         List<String> lines = new ArrayList<>(2);
-        int lineStart = 0;
-        for (int i = 0; i < bytes.length; i++) {
-            if (bytes[i] == '\n') {
-                unfinished.write(bytes, lineStart, i - lineStart);
+        while (bytes.hasRemaining() && lines.size() < maxLines) {
+            int length = lengthOfLine(bytes);
+            byte[] part = new byte[length];
+            bytes.get(part);
+            unfinished.write(part, 0, length);
+            if (bytes.hasRemaining()) {
+                bytes.get(); // the line feed
                 lines.add(takeUnfinished());
-                lineStart = i + 1;
             }
         }
-        unfinished.write(bytes, lineStart, bytes.length - lineStart);
         return unfinished.size() > maxLineBytes ? null : lines;
     }
 
+    /** Returns the number of bytes before the next line feed, or of all if there is none. */
+    private static int lengthOfLine(ByteBuffer bytes) {
+        int end = bytes.position();
+        while (end < bytes.limit() && bytes.get(end) != '\n') {
+            end++;
+        }
+        return end - bytes.position();
+    }
+
     /** Returns the number of bytes of the unfinished line. */
     public int unfinishedBytes() {
         return unfinished.size();
--- a/src/test/java/damsonslip/faktory/SharedMemoryTest.java
+++ b/src/test/java/damsonslip/faktory/SharedMemoryTest.java
@@ -11,6 +11,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -31,7 +33,18 @@
     private static final int LARGE_JOB_BYTES = 500_000;
     private static final int READERS = 60;
 
+    /** Their names fit into four kilobytes. */
+    private static final int QUEUES = 1_400;
+
+    /** Their text is within the size that is always accepted. */
+    private static final int BULK_JOBS = 85;
+
+    private static final int LARGE_BULK_JOBS = 1_000;
+
+    private static final long STALL_MS = 1_500;
+
     @TempDir Path dir;
+    private RedisStandIn redis;
     private FaktoryServer server;
     private Program program;
 
@@ -40,9 +53,9 @@
         server.close();
     }
 
-    private void start() throws IOException {
-        RedisStandIn redis = new RedisStandIn();
-        server = new FaktoryServer(dir, redis);
+    private void start(String... replacements) throws IOException {
+        redis = new RedisStandIn();
+        server = new FaktoryServer(dir, redis, replacements);
         server.closing(redis);
         program = server.start(server.port, "small-heap", SMALL_HEAP);
     }
@@ -63,6 +76,55 @@
         assertServes();
     }
 
+    /** The names of the queues are kept while a FETCH waits, and afterwards. */
+    @Test
+    void fetchesFromManyQueuesDoNotFillHeap() throws Exception {
+        start();
+        String fetch =
+                IntStream.range(0, QUEUES)
+                        .mapToObj(i -> Integer.toString(i, Character.MAX_RADIX))
+                        .collect(Collectors.joining(" ", "FETCH ", "\r\n"));
+        for (int i = 0; i < BAD_PEERS; i++) {
+            sendUnlessClosed(server.peer("w" + i), fetch);
+        }
+        assertServes();
+    }
+
+    /** While the store does not answer, each job that is being pushed takes a kilobyte. */
+    @Test
+    void bulkPushesDoNotFillHeapWhileStoreHangs() throws Exception {
+        start("waiting = 200000 ", "waiting = 2000 ", "per_queue = 200000 ", "per_queue = 2000 ");
+        List<FaktoryPeer> producers = new ArrayList<>();
+        for (int i = 0; i < BAD_PEERS; i++) {
+            producers.add(server.peer(""));
+        }
+        redis.stall(STALL_MS);
+        for (int i = 0; i < BAD_PEERS; i++) {
+            int jobs = i % 2 == 0 ? BULK_JOBS : LARGE_BULK_JOBS;
+            sendUnlessClosed(producers.get(i), bulkPush(i, jobs));
+        }
+        Thread.sleep(STALL_MS);
+        Program.await("it serves", this::serves, program);
+    }
+
+    private static String bulkPush(int producer, int jobs) {
+        return IntStream.range(0, jobs)
+                .mapToObj(
+                        job ->
+                                "{\"jid\":\"b-%04d-%04d\",\"jobtype\":\"t\",\"args\":[]}"
+                                        .formatted(producer, job))
+                .collect(Collectors.joining(",", "PUSHB [", "]\r\n"));
+    }
+
+    private boolean serves() {
+        try {
+            assertServes();
+            return true;
+        } catch (IOException | AssertionError e) {
+            return false;
+        }
+    }
+
     private static void sendUnlessClosed(FaktoryPeer peer, String text) {
         try {
             peer.peer().send(text);
--- a/src/test/java/damsonslip/transport/LineDecoderTest.java
+++ b/src/test/java/damsonslip/transport/LineDecoderTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -36,6 +37,17 @@
         assertEquals(0, decoder.memoryBytes());
     }
 
+    /** A text takes some 50 bytes, however short its line is. */
+    @Test
+    void leavesFurtherLinesUnread() {
+        ByteBuffer bytes = ByteBuffer.wrap("a\nb\nc\nd".getBytes(StandardCharsets.UTF_8));
+        assertEquals(List.of("a", "b"), decoder.decode(bytes, 2));
+        assertEquals(3, bytes.remaining());
+        assertEquals(0, decoder.memoryBytes());
+        assertEquals(List.of("c"), decoder.decode(bytes, 2));
+        assertEquals("d", decoder.takeUnfinished());
+    }
+
     @Test
     void rejectsUnfinishedLineAboveBound() {
         assertEquals(List.of(), decode("12345678"));
