--- a/src/main/java/damsonslip/engine/Counters.java
+++ b/src/main/java/damsonslip/engine/Counters.java
@@ -96,7 +96,11 @@
         /** Actions of the policy whose execution failed. */
         ACTIONS_FAILED,
         /** Tasks of the event loop that failed. */
-        TASKS_FAILED
+        TASKS_FAILED,
+        /** Jobs that were ended since the store has lost their content. */
+        JOBS_LOST,
+        /** Losses of data of the store that were detected. */
+        STORE_DATA_LOST
     }
 
     private final Map<Count, AtomicLong> counts = new EnumMap<>(Count.class);
--- a/src/main/java/damsonslip/faktory/BatchService.java
+++ b/src/main/java/damsonslip/faktory/BatchService.java
@@ -145,6 +145,11 @@
         batches.clear();
     }
 
+    /** Records all batches in the store again. */
+    void rewriteAll() {
+        batches.all().forEach(this::write);
+    }
+
     /** Deletes a batch from the store. */
     void delete(String bid) {
         store.putMetadata(METADATA_KIND, bid, null);
--- a/src/main/java/damsonslip/faktory/FaktoryServices.java
+++ b/src/main/java/damsonslip/faktory/FaktoryServices.java
@@ -24,6 +24,8 @@
     private final MutateCommand mutateCommand;
     private final QueueCommands queueCommands;
     private final ServerInfo serverInfo;
+    private final EndedJobs endedJobs;
+    private final StoreRewriter rewriter;
 
     FaktoryServices(
             EventLoop loop,
@@ -38,7 +40,9 @@
         this.store = store;
         int classCount = config.site().classNames().size();
         JobTable jobTable = new JobTable(classCount, config.jobLimits(), loop.startedUs());
-        JobLifecycle lifecycle = new JobLifecycle(loop, config.site(), store, counters, jobTable);
+        this.endedJobs = new EndedJobs(loop, store);
+        JobLifecycle lifecycle =
+                new JobLifecycle(loop, config.site(), store, counters, jobTable, endedJobs);
         this.reservations = new Reservations(loop, engine, store, counters, lifecycle);
         this.workers = new WorkerRegistry(loop, config.site(), engine, store, reservations);
         this.coordinator =
@@ -52,6 +56,7 @@
                         lifecycle,
                         workers,
                         config.fairQueueOrder());
+        reservations.onJobLost(coordinator.dispatcher()::withdraw);
         this.consumers =
                 new Consumers(loop, engine, workers, reservations, coordinator.dispatcher());
         JobFactory jobFactory = new JobFactory(config, lifecycle);
@@ -59,11 +64,28 @@
         this.batches = new BatchService(store, coordinator, callbacks);
         this.batchCommands = new BatchCommands(jobFactory, batches);
         this.producers =
-                new Producers(loop, store, phase, counters, jobFactory, coordinator, batches);
+                new Producers(
+                        loop, store, phase, counters, jobFactory, coordinator, batches, endedJobs);
         this.tracker = new JobTracker(store, lifecycle);
         this.mutateCommand = new MutateCommand(loop, store, coordinator);
         this.queueCommands = new QueueCommands(loop, store, coordinator, batches);
         this.serverInfo = new ServerInfo(loop, counters, jobTable, workers);
+        this.rewriter = new StoreRewriter(loop, store, jobTable, batches, endedJobs);
+    }
+
+    private StoreContinuity.Listener lossListener() {
+        return new StoreContinuity.Listener() {
+            @Override
+            public void dataLost() {
+                endedJobs.storeLostData();
+                rewriter.rewriteAll();
+            }
+
+            @Override
+            public void backAfterOutage(long sinceMs) {
+                rewriter.rewriteSince(sinceMs);
+            }
+        };
     }
 
     /** Starts the recovery from the store. */
@@ -82,8 +104,10 @@
                         config.routes(),
                         coordinator,
                         batches,
+                        endedJobs,
                         completeRecovery)
                 .start();
+        new StoreContinuity(loop, store, counters, lossListener()).start();
     }
 
     JobCoordinator coordinator() {
--- a/src/main/java/damsonslip/faktory/JobDispatcher.java
+++ b/src/main/java/damsonslip/faktory/JobDispatcher.java
@@ -239,6 +239,13 @@
         return lifecycle.nowMs() + Math.max(classDeadlineMs, reservationMs);
     }
 
+    /** Withdraws a job that has ended from the scheduling policy. */
+    void withdraw(DispatchedJob dispatched) {
+        unawaited.remove(dispatched);
+        engine.clientDisconnected(dispatched.context);
+        dispatchSoon();
+    }
+
     /** Handles the final response of the scheduling policy. */
     private void finish(DispatchedJob dispatched, Response response) {
         JobEntry entry = dispatched.entry;
--- a/src/main/java/damsonslip/faktory/JobLifecycle.java
+++ b/src/main/java/damsonslip/faktory/JobLifecycle.java
@@ -8,6 +8,7 @@
 import damsonslip.faktory.jobs.JobEntry;
 import damsonslip.faktory.jobs.JobTable;
 import damsonslip.faktory.jobs.JobTransitions;
+import damsonslip.policy.api.Idempotency;
 import damsonslip.policy.api.JobClass;
 import damsonslip.store.AsyncStore;
 import damsonslip.store.JobRecord;
@@ -31,6 +32,7 @@
     private final AsyncStore store;
     private final Counters counters;
     private final JobTable jobTable;
+    private final EndedJobs endedJobs;
     private Consumer<String> batchListener = batchId -> {};
     private Consumer<JobRecord> successListener = record -> {};
 
@@ -39,12 +41,14 @@
             SiteSettings site,
             AsyncStore store,
             Counters counters,
-            JobTable jobTable) {
+            JobTable jobTable,
+            EndedJobs endedJobs) {
         this.loop = loop;
         this.site = site;
         this.store = store;
         this.counters = counters;
         this.jobTable = jobTable;
+        this.endedJobs = endedJobs;
     }
 
     /**
@@ -84,7 +88,7 @@
         } else {
             jobTable.move(entry, next);
         }
-        store.write(next, callback::succeeded, () -> callback.failed(NOT_RECORDED));
+        record(entry, next, callback);
         if (!next.options().batchId().isEmpty()) {
             batchListener.accept(next.options().batchId());
         }
@@ -93,6 +97,24 @@
         }
     }
 
+    /** Records the end of a job that was removed from the job table. */
+    void recordEnd(JobEntry entry, JobRecord last) {
+        record(entry, last, CommandCallback.IGNORE);
+    }
+
+    private void record(JobEntry entry, JobRecord next, CommandCallback callback) {
+        store.write(next, callback::succeeded, () -> callback.failed(NOT_RECORDED));
+        boolean ended = next.state().isFinal() && next.state() != JobRecord.State.REJECTED;
+        if (ended && mustNotRunTwice(entry.jobClass())) {
+            endedJobs.add(next.id());
+        }
+    }
+
+    /** Whether jobs of this class may not simply be run again. */
+    boolean mustNotRunTwice(int jobClass) {
+        return site.settings().classes().get(jobClass).idempotency() != Idempotency.IDEMPOTENT;
+    }
+
     private static void checkTransition(JobEntry entry, JobRecord next) {
         JobRecord.State from = entry.record().state();
         if (!JobTransitions.isAllowed(from, next.state())) {
--- a/src/main/java/damsonslip/faktory/Producers.java
+++ b/src/main/java/damsonslip/faktory/Producers.java
@@ -12,6 +12,7 @@
 import damsonslip.faktory.codec.Json;
 import damsonslip.faktory.codec.MalformedCommandException;
 import damsonslip.faktory.codec.Reply;
+import damsonslip.faktory.jobs.JobEntry;
 import damsonslip.faktory.jobs.JobTable;
 import damsonslip.store.AsyncStore;
 import damsonslip.store.JobRecord;
@@ -26,6 +27,11 @@
  * the event loop.
  */
 final class Producers {
+    private static final CommandError UNKNOWN_WHETHER_RUN =
+            CommandError.error(
+                    "the store has lost its data, and it is not known any more whether this job has"
+                            + " run; it was not taken");
+
     private static final CommandError NOT_ADDED =
             CommandError.error("the store is down and the job was not taken; push it again");
 
@@ -36,6 +42,7 @@
     private final JobCoordinator coordinator;
     private final JobTable jobTable;
     private final BatchService batches;
+    private final EndedJobs endedJobs;
     private final UnconfirmedPushes unconfirmed;
 
     /** Whether the recovery from the store is complete. */
@@ -48,7 +55,8 @@
             Counters counters,
             JobFactory jobFactory,
             JobCoordinator coordinator,
-            BatchService batches) {
+            BatchService batches,
+            EndedJobs endedJobs) {
         this.store = store;
         this.phase = phase;
         this.counters = counters;
@@ -56,6 +64,7 @@
         this.coordinator = coordinator;
         this.jobTable = coordinator.jobTable();
         this.batches = batches;
+        this.endedJobs = endedJobs;
         this.unconfirmed = new UnconfirmedPushes(loop, store, jobTable);
     }
 
@@ -104,7 +113,12 @@
         }
         try {
             NewJob newJob = jobFactory.create(job);
-            Optional<CommandError> rejection = rejection(newJob.record());
+            if (isKnownToHaveRun(newJob.id())) { // whatever the store says
+                counters.add(Count.PUSHES_REPEATED);
+                callback.succeeded();
+                return;
+            }
+            Optional<CommandError> rejection = rejection(newJob);
             if (rejection.isPresent()) {
                 counters.add(Count.PUSHES_REFUSED);
                 callback.completed(rejection);
@@ -121,7 +135,11 @@
      * Returns why a well-formed job cannot be accepted now, if so; otherwise acquires the lock of a
      * unique job.
      */
-    private Optional<CommandError> rejection(JobRecord record) {
+    private Optional<CommandError> rejection(NewJob job) {
+        JobRecord record = job.record();
+        if (mayHaveRunUnknown(job)) {
+            return Optional.of(UNKNOWN_WHETHER_RUN);
+        }
         String reason = rejectionReason(record);
         if (reason != null) {
             return Optional.of(CommandError.error(reason));
@@ -131,6 +149,22 @@
                 : Optional.of(new CommandError(CommandError.Code.NOTUNIQUE, "Job not unique"));
     }
 
+    /**
+     * Whether a job has ended and must not run again, or is open and may have run. Such a push is
+     * not written: to a store without its data it would be a new job.
+     */
+    private boolean isKnownToHaveRun(String jid) {
+        JobEntry open = jobTable.get(jid);
+        return endedJobs.contains(jid) || (open != null && !open.record().hasNeverRun());
+    }
+
+    /** Whether a job that must not run twice may have ended, and neither we nor the store know. */
+    private boolean mayHaveRunUnknown(NewJob job) {
+        return !endedJobs.vouchesForAbsence()
+                && coordinator.lifecycle().mustNotRunTwice(job.jobClass())
+                && jobTable.get(job.id()) == null;
+    }
+
     private String rejectionReason(JobRecord record) {
         JobRecord.Options options = record.options();
         boolean inBatch = !options.batchId().isEmpty();
@@ -202,8 +236,12 @@
      */
     private void added(NewJob job, JobRecord existing, CommandCallback callback) {
         Set<JobRecord> unconfirmedRecords = unconfirmed.confirm(job.id());
-        boolean open = jobTable.get(job.id()) != null;
+        JobEntry entry = jobTable.get(job.id());
+        boolean open = entry != null;
         if (existing == null) {
+            if (open) { // the store has lost its data: the record that it has now is not the job's
+                store.write(entry.record());
+            }
             callback.completed(accept(job.record(), job.jobClass()));
         } else if (existing.state() == JobRecord.State.REJECTED && !open) {
             replace(job, callback); // a rejected job may be pushed again
--- a/src/main/java/damsonslip/faktory/QueueCommands.java
+++ b/src/main/java/damsonslip/faktory/QueueCommands.java
@@ -20,7 +20,7 @@
     /** The metadata kind under which the store holds paused queues. */
     static final String PAUSED_KIND = "paused";
 
-    private static final String PAUSED_VALUE = "1";
+    static final String PAUSED_VALUE = "1";
     private static final String ALL_QUEUES = "*";
 
     /**
@@ -120,7 +120,9 @@
         if (RetryPolicy.mayRun(entry.record(), lifecycle.classOf(entry), nowMs)) {
             deletable.add(entry.id());
         } else {
-            store.write(entry.record().withState(JobRecord.State.DISCARDED, 0, "flushed", nowMs));
+            lifecycle.recordEnd(
+                    entry,
+                    entry.record().withState(JobRecord.State.DISCARDED, 0, "flushed", nowMs));
         }
     }
 
--- a/src/main/java/damsonslip/faktory/Recovery.java
+++ b/src/main/java/damsonslip/faktory/Recovery.java
@@ -37,6 +37,7 @@
     private final Routes routes;
     private final JobCoordinator coordinator;
     private final BatchService batches;
+    private final EndedJobs endedJobs;
     private final Runnable onCompletion;
     private int recoveredJobs;
 
@@ -48,6 +49,7 @@
             Routes routes,
             JobCoordinator coordinator,
             BatchService batches,
+            EndedJobs endedJobs,
             Runnable onCompletion) {
         this.loop = loop;
         this.site = site;
@@ -56,6 +58,7 @@
         this.routes = routes;
         this.coordinator = coordinator;
         this.batches = batches;
+        this.endedJobs = endedJobs;
         this.onCompletion = onCompletion;
     }
 
@@ -65,7 +68,7 @@
      */
     void start() {
         coordinator.jobTable().beginRecovery();
-        loadPausedQueues();
+        endedJobs.load(this::loadPausedQueues);
     }
 
     private void loadPausedQueues() {
@@ -120,6 +123,10 @@
         if (!coordinator.jobTable().mayRecover(record.id())) {
             return; // pushed since the start, and perhaps ended
         }
+        if (endedJobs.contains(record.id())) {
+            endAgain(record);
+            return;
+        }
         recoveredJobs++;
         int jobClass = classOf(record.options());
         if (jobClass < 0) {
@@ -129,6 +136,13 @@
         }
     }
 
+    /** Ends a job whose end the store has lost. */
+    private void endAgain(JobRecord record) {
+        LOG.warn("event=job_not_recovered jid={} reason=ended_before", record.id());
+        String detail = "it had ended; the store has lost how";
+        store.write(record.withState(JobRecord.State.DISCARDED, 0, detail, coordinator.nowMs()));
+    }
+
     /**
      * Returns the job's class, or the one that its route selects if its own is no longer
      * configured.
--- a/src/main/java/damsonslip/faktory/Reservations.java
+++ b/src/main/java/damsonslip/faktory/Reservations.java
@@ -16,6 +16,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Workers' reservations of jobs. No job is handed out before the store has recorded its
@@ -23,12 +25,18 @@
  * was queued, and one stored as reserved may have run. Confined to the event loop.
  */
 final class Reservations {
+    private static final Logger LOG = LoggerFactory.getLogger(Reservations.class);
+
+    private static final String CONTENT_LOST_DETAIL = "the store has lost its content";
+
     private final EventLoop loop;
     private final SchedulerEngine engine;
     private final AsyncStore store;
     private final Counters counters;
     private final JobLifecycle lifecycle;
 
+    private Consumer<DispatchedJob> onJobLost = job -> {};
+
     /** The open reservations, by job id. */
     private final Map<String, Reservation> reservations = new HashMap<>();
 
@@ -62,6 +70,11 @@
         this.lifecycle = lifecycle;
     }
 
+    /** Sets the listener that receives jobs that have ended since the store has lost them. */
+    void onJobLost(Consumer<DispatchedJob> listener) {
+        onJobLost = listener;
+    }
+
     static DispatchedJob jobOf(Attempt attempt) {
         return (DispatchedJob) attempt.request().payload();
     }
@@ -100,8 +113,12 @@
         DispatchedJob job = reservation.job();
         boolean current =
                 reservation.attempt.isOpen() && reservations.get(job.jid()) == reservation;
+        if (current && body == null) {
+            endLost(reservation, fetch, onUnused);
+            return;
+        }
         boolean ready = reservation.worker.isRunning() && !fetch.connection().isClosed();
-        if (!current || !ready || body == null) {
+        if (!current || !ready) {
             returnUnrun(reservation, fetch, onUnused);
             return;
         }
@@ -140,6 +157,26 @@
         engine.attemptEnded(reservation.attempt, Attempt.Completion.of(AttemptOutcome.FULL));
     }
 
+    /**
+     * Ends a job whose body the store has lost, since it cannot be run any more; it would hold up
+     * the jobs behind it. If it has never run, it may be pushed again.
+     */
+    private void endLost(
+            Reservation reservation, PendingFetch fetch, Consumer<PendingFetch> onUnused) {
+        DispatchedJob job = reservation.job();
+        counters.add(Count.JOBS_LOST);
+        LOG.warn("event=job_lost jid={} the store has lost its content", job.jid());
+        release(reservation);
+        JobRecord.State last = job.ranBefore ? JobRecord.State.DISCARDED : JobRecord.State.REJECTED;
+        JobRecord ended = job.record().withState(last, 0, CONTENT_LOST_DETAIL, lifecycle.nowMs());
+        lifecycle.transition(job.entry, ended, CommandCallback.IGNORE);
+        onJobLost.accept(job);
+        engine.attemptEnded(reservation.attempt, Attempt.Completion.of(AttemptOutcome.NEVER_SENT));
+        if (!fetch.connection().isClosed()) {
+            onUnused.accept(fetch);
+        }
+    }
+
     private void expire(Reservation reservation) {
         reservation.job().failure = RunFailure.RESERVATION_EXPIRED;
         end(reservation, AttemptOutcome.RESET);
--- a/src/main/java/damsonslip/store/AsyncStore.java
+++ b/src/main/java/damsonslip/store/AsyncStore.java
@@ -65,6 +65,7 @@
     private final UnwrittenKeys unwritten = new UnwrittenKeys();
 
     private volatile boolean closing;
+    private volatile Runnable availabilityListener = NOTHING;
 
     /** Starts the thread that calls the store. */
     public AsyncStore(EventLoop loop, JobStore store) {
@@ -75,6 +76,11 @@
         thread.start();
     }
 
+    /** Sets the listener that is called on the loop when the store is available again. */
+    public void onAvailable(Runnable listener) {
+        availabilityListener = listener;
+    }
+
     /** Whether the last call to the store succeeded. */
     public boolean isAvailable() {
         return circuitBreaker.isClosed();
@@ -123,6 +129,17 @@
         writeRepeatedly(new StoreOperation.PutMetadata(kind, key, value), onSuccess, onFailure);
     }
 
+    /**
+     * As {@link #putMetadata(String, String, String)}, for values that the store forgets together
+     * with all others of their kind.
+     *
+     * @param expiryS the time in seconds after which the kind is forgotten
+     */
+    public void putMetadata(String kind, String key, String value, long expiryS) {
+        writeRepeatedly(
+                new StoreOperation.PutMetadata(kind, key, value, expiryS), NOTHING, NOTHING);
+    }
+
     /** Deletes jobs, repeating that until the store has done it or newer writes follow. */
     public void delete(List<String> ids) {
         delete(ids, NOTHING, NOTHING);
@@ -230,7 +247,11 @@
         if (executable.isEmpty()) {
             return;
         }
+        boolean wasAvailable = circuitBreaker.isClosed();
         List<Object> results = execute(executable);
+        if (!wasAvailable && circuitBreaker.isClosed()) {
+            loop.execute(availabilityListener);
+        }
         for (int i = 0; i < executable.size(); i++) {
             recordWrite(executable.get(i), results.get(i));
         }
--- a/src/main/java/damsonslip/store/RedisOperations.java
+++ b/src/main/java/damsonslip/store/RedisOperations.java
@@ -139,6 +139,9 @@
                 put.value() == null
                         ? pipeline.hdel(key, put.key())
                         : pipeline.hset(key, put.key(), put.value());
+        if (put.expiryS() > 0) {
+            return whenAllDone(List.of(done, pipeline.expire(key, put.expiryS())));
+        }
         return whenAllDone(List.of(done));
     }
 
--- a/src/main/java/damsonslip/store/StoreOperation.java
+++ b/src/main/java/damsonslip/store/StoreOperation.java
@@ -173,8 +173,19 @@
         }
     }
 
-    /** Writes a value of this scheduler's metadata under a kind and a key; null deletes it. */
-    record PutMetadata(String kind, String key, String value) implements StoreOperation<Void> {
+    /**
+     * Writes a value of this scheduler's metadata under a kind and a key; null deletes it.
+     *
+     * @param expiryS the time in seconds after which all values of the kind are forgotten; 0 for
+     *     never
+     */
+    record PutMetadata(String kind, String key, String value, long expiryS)
+            implements StoreOperation<Void> {
+        /** Writes a value that does not expire. */
+        public PutMetadata(String kind, String key, String value) {
+            this(kind, key, value, 0);
+        }
+
         @Override
         public List<StoreKey> keys() {
             return List.of(new StoreKey(kind, key));
--- a/src/test/java/damsonslip/compatibility/StoredEntries.java
+++ b/src/test/java/damsonslip/compatibility/StoredEntries.java
@@ -25,6 +25,11 @@
     /** The description of a rejected job contains the measured time to wait before a retry. */
     private static final Pattern REJECTION_DELAY = Pattern.compile("after [0-9]+\\.[0-9]{3} s");
 
+    /** Ended jobs are stored by the hour in which they ended. */
+    private static final Pattern ENDED_HOUR = Pattern.compile("ended:[0-9]+:");
+
+    private static final Pattern HEARTBEAT = Pattern.compile("heartbeat \\| [0-9]+");
+
     private static final Pattern SEQUENCE = Pattern.compile("\"seq\":([0-9]+)");
 
     private StoredEntries() {}
@@ -99,6 +104,8 @@
         text = mask(text, MILLIS, "MILLISECONDS");
         text = mask(text, INSTANT, "INSTANT");
         text = mask(text, REJECTION_DELAY, "after DELAY s");
+        text = mask(text, ENDED_HOUR, "ended:HOUR:");
+        text = mask(text, HEARTBEAT, "heartbeat | NUMBER");
         return String.join("\n", text.lines().sorted().toList());
     }
 
--- a/src/test/java/damsonslip/compatibility/StoredJobsScenario.java
+++ b/src/test/java/damsonslip/compatibility/StoredJobsScenario.java
@@ -48,6 +48,7 @@
             scenario.storeAwaitedJobs();
             scenario.storeBatches();
             scenario.storeReservedJobs();
+            scenario.storeEndedJobThatMustNotRunTwice();
             List<List<String>> entries = redis.entries();
             server.closing(redis);
             return entries;
@@ -183,6 +184,11 @@
         return ",\"custom\":{\"bid\":\"" + bid + "\"}";
     }
 
+    private void storeEndedJobThatMustNotRunTwice() throws IOException {
+        pushAndFetch("stored-success-once", WORK + ",\"custom\":{\"class\":\"apply-submit\"}");
+        expectOk(worker.ack("stored-success-once"));
+    }
+
     private void storeReservedJobs() throws IOException {
         pushAndFetch("stored-reserved", WORK);
         pushAwaitedAndFetch("stored-reserved-awaited", "");
--- a/src/test/java/damsonslip/compatibility/StoredJobsTest.java
+++ b/src/test/java/damsonslip/compatibility/StoredJobsTest.java
@@ -42,6 +42,7 @@
                     Map.entry("stored-reserved-awaited", "enqueued"),
                     Map.entry("stored-refused-after-run", "failed"),
                     Map.entry("stored-success", "success"),
+                    Map.entry("stored-success-once", "success"),
                     Map.entry("stored-discarded", "discarded"),
                     Map.entry("stored-complete-batch-job", "success"),
                     Map.entry("stored-failed", "failed"),
@@ -185,7 +186,12 @@
     void runsNoEndedJobAgain() throws IOException {
         FaktoryPeer worker = server.peer("w2");
         runReservedAwaitedJob(worker);
-        for (String jid : List.of("stored-success", "stored-discarded", "stored-dead-once")) {
+        for (String jid :
+                List.of(
+                        "stored-success",
+                        "stored-success-once",
+                        "stored-discarded",
+                        "stored-dead-once")) {
             assertEquals("+OK", producer.plain(jid, ",\"queue\":\"work\""));
             assertEquals(STATES.get(jid), producer.state(jid));
         }
--- a/src/test/java/damsonslip/testkit/RedisStandIn.java
+++ b/src/test/java/damsonslip/testkit/RedisStandIn.java
@@ -1,6 +1,10 @@
 package damsonslip.testkit;
 
 import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -23,6 +27,8 @@
     private static final String FIELD = "field";
 
     public final int port;
+
+    private static final long BIND_TIMEOUT_NS = TimeUnit.SECONDS.toNanos(2);
     private final Map<String, String> strings = new TreeMap<>();
     private final Map<String, Set<String>> sets = new TreeMap<>();
     private final Map<String, Map<String, String>> hashes = new TreeMap<>();
@@ -124,6 +130,13 @@
         }
     }
 
+    /** Loses all data, as a server does that is started again without its files. */
+    public synchronized void wipe() {
+        strings.clear();
+        sets.clear();
+        hashes.clear();
+    }
+
     /** Turns error replies to every command on or off. */
     public void errors(boolean on) {
         errors = on;
@@ -163,9 +176,20 @@
     }
 
     public void up() throws IOException {
+        ServerSocket listening = new ServerSocket();
+        long end = System.nanoTime() + BIND_TIMEOUT_NS;
+        while (!listening.isBound()) {
+            try {
+                listening.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            } catch (BindException e) { // the socket of before is being closed by its thread
+                if (System.nanoTime() > end) {
+                    throw e;
+                }
+            }
+        }
         server =
                 new Peer.Server(
-                        port,
+                        listening,
                         peer -> {
                             while (true) {
                                 List<String> words = new ArrayList<>();
