--- a/src/main/java/damsonslip/admin/upgrade/SharedDirectory.java
+++ b/src/main/java/damsonslip/admin/upgrade/SharedDirectory.java
@@ -3,22 +3,27 @@
 import damsonslip.membership.peers.PeerProcesses;
 import damsonslip.membership.peers.PeerProcesses.Peer;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 
 /**
- * The directory through which processes of one scheduler detect each other ({@link LockFiles}) and
- * share the operators' worker overrides ({@link OverridesFile}). Changes are made while holding the
- * {@link DirectoryLock}.
+ * The directory through which processes of one scheduler detect each other ({@link LockFiles}),
+ * share the operators' worker overrides ({@link OverridesFile}), and the ids of requests ({@link
+ * SharedMemoryFile}). Changes are made while holding the {@link DirectoryLock}.
  *
  * <p>Not thread-safe.
  */
 public final class SharedDirectory {
+    /** The number is that of the layout of the file's content. */
+    private static final String REQUEST_IDS_NAME = "damsonslip-ids-1";
+
     private final DirectoryLock lock;
     private final LockFiles lockFiles;
     private final OverridesFile overrides;
+    private final Path requestIdsFile;
 
     /**
      * Registers this process under the next free number and removes the lock files of dead
@@ -31,6 +36,7 @@
         lock = new DirectoryLock(path);
         lockFiles = new LockFiles(path);
         overrides = new OverridesFile(path);
+        requestIdsFile = path.resolve(REQUEST_IDS_NAME);
         try {
             lock.run(lockFiles::register);
             lockFiles.writeState(ProcessState.STARTING);
@@ -89,6 +95,22 @@
         overrides.write(text);
     }
 
+    /**
+     * Maps the memory in which all processes keep the ids of their requests. The lock is only
+     * needed to create its file, so that a new process that finds it is not held up by the others.
+     *
+     * @param bytes its size
+     * @throws IOException if there is no room for its file, or the file is missing and the lock is
+     *     not free within 50 ms
+     */
+    ByteBuffer mapRequestIds(int bytes) throws IOException {
+        SharedMemoryFile memory = new SharedMemoryFile(requestIdsFile, bytes);
+        if (!memory.isComplete()) {
+            lock.run(memory::complete);
+        }
+        return memory.map();
+    }
+
     /**
      * Runs a task while holding the lock of this directory, which excludes other processes.
      *
--- a/src/main/java/damsonslip/admin/upgrade/UpgradeCoordinator.java
+++ b/src/main/java/damsonslip/admin/upgrade/UpgradeCoordinator.java
@@ -5,6 +5,7 @@
 import damsonslip.membership.overrides.WorkerOverrides;
 import damsonslip.membership.peers.PeerProcesses;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
@@ -13,7 +14,8 @@
 
 /**
  * Keeps this process consistent with the other processes of its scheduler: polls the shared
- * directory for peers and for worker overrides, and publishes changes of the overrides.
+ * directory for peers and for worker overrides, publishes changes of the overrides, and provides
+ * the memory in which all of them keep the ids of their requests.
  *
  * <p>Methods are called on the event loop, and callbacks run on it unless they say otherwise. The
  * directory is accessed on the {@link DirectoryThread}, except for the first poll and the first
@@ -43,9 +45,21 @@
     private final EventLoop loop;
     private final SchedulerEngine engine;
     private final Consumer<PeerProcesses> peersListener;
+    private final SharedMemoryUser requestIds;
+    private boolean areRequestIdsShared;
+    private boolean isSharingFailureLogged;
     private PeerProcesses peers = PeerProcesses.ALONE;
     private Announcement announcement = Announcement.NOT_NEEDED;
 
+    /** Uses memory that all processes share. */
+    public interface SharedMemoryUser {
+        /** The size of the memory in bytes. */
+        int bytes();
+
+        /** Called once with the memory; its bytes are 0 unless another process has used it. */
+        void share(ByteBuffer memory);
+    }
+
     /**
      * What a poll of the directory found.
      *
@@ -57,21 +71,29 @@
      * Creates a coordinator that does nothing until {@link #start}.
      *
      * @param peersListener called on the loop whenever the set of live peers has changed
+     * @param requestIds gets the memory for the ids of requests, on the loop
      */
     public UpgradeCoordinator(
             SharedDirectory directory,
             EventLoop loop,
             SchedulerEngine engine,
-            Consumer<PeerProcesses> peersListener) {
+            Consumer<PeerProcesses> peersListener,
+            SharedMemoryUser requestIds) {
         this.directory = directory;
         this.directoryThread = new DirectoryThread(loop);
         this.loop = loop;
         this.engine = engine;
         this.peersListener = peersListener;
+        this.requestIds = requestIds;
     }
 
     /** Polls at once, blocking on the directory, and then periodically until {@link #close}. */
     public void start() {
+        try {
+            shareRequestIds(directory.mapRequestIds(requestIds.bytes()));
+        } catch (IOException e) {
+            sharingFailed(e);
+        }
         try {
             apply(poll());
         } catch (IOException e) {
@@ -84,8 +106,30 @@
         loop.scheduleAfter(POLL_INTERVAL_US, this::pollPeriodically);
     }
 
+    private void shareRequestIds(ByteBuffer memory) {
+        areRequestIdsShared = true;
+        requestIds.share(memory);
+    }
+
+    private void sharingFailed(IOException error) {
+        if (!isSharingFailureLogged) {
+            isSharingFailureLogged = true;
+            LOG.warn("event=request_ids_not_shared error=\"{}\"", error.getMessage());
+        }
+    }
+
+    private void retrySharingRequestIds() {
+        if (!areRequestIdsShared) {
+            directoryThread.run(
+                    () -> directory.mapRequestIds(requestIds.bytes()),
+                    this::shareRequestIds,
+                    this::sharingFailed);
+        }
+    }
+
     private void pollPeriodically() {
         retryFailedAnnouncement();
+        retrySharingRequestIds();
         pollThen(this::scheduleNextPoll);
     }
 
--- a/src/main/java/damsonslip/platform/Platform.java
+++ b/src/main/java/damsonslip/platform/Platform.java
@@ -101,7 +101,8 @@
                         phase,
                         engine,
                         ProcessCoordination.configuredDirectory(config, environment),
-                        this::peersChanged);
+                        this::peersChanged,
+                        clients.requestIds());
         CompletableFuture<Boolean> listening = new CompletableFuture<>();
         loop.execute(() -> begin(cached, listen, listening));
         if (awaitListening(listening)) {
--- a/src/main/java/damsonslip/platform/ProcessCoordination.java
+++ b/src/main/java/damsonslip/platform/ProcessCoordination.java
@@ -37,6 +37,7 @@
     private final SchedulerEngine engine;
     private final Path directory;
     private final Consumer<PeerProcesses> onPeersChanged;
+    private final UpgradeCoordinator.SharedMemoryUser requestIds;
     private boolean openAttempted;
 
     /** Null if there is no shared directory, or it has not been usable so far. */
@@ -45,18 +46,21 @@
     /**
      * @param directory null if this is the only process of the scheduler
      * @param onPeersChanged receives the processes of this scheduler when they change
+     * @param requestIds gets the memory in which all processes keep the ids of their requests
      */
     ProcessCoordination(
             EventLoop loop,
             LifecyclePhase phase,
             SchedulerEngine engine,
             Path directory,
-            Consumer<PeerProcesses> onPeersChanged) {
+            Consumer<PeerProcesses> onPeersChanged,
+            UpgradeCoordinator.SharedMemoryUser requestIds) {
         this.loop = loop;
         this.phase = phase;
         this.engine = engine;
         this.directory = directory;
         this.onPeersChanged = onPeersChanged;
+        this.requestIds = requestIds;
     }
 
     /**
@@ -104,7 +108,11 @@
         try {
             coordinator =
                     new UpgradeCoordinator(
-                            new SharedDirectory(directory), loop, engine, onPeersChanged);
+                            new SharedDirectory(directory),
+                            loop,
+                            engine,
+                            onPeersChanged,
+                            requestIds);
         } catch (IOException e) {
             LOG.warn("event=folder_unusable folder={} error=\"{}\"", directory, e.getMessage());
             loop.scheduleAfter(RETRY_INTERVAL_US, this::open);
--- a/src/main/java/damsonslip/platform/client/ClientServer.java
+++ b/src/main/java/damsonslip/platform/client/ClientServer.java
@@ -1,5 +1,6 @@
 package damsonslip.platform.client;
 
+import damsonslip.admin.upgrade.UpgradeCoordinator;
 import damsonslip.config.SiteSettings;
 import damsonslip.engine.Counters;
 import damsonslip.engine.Counters.Count;
@@ -219,6 +220,11 @@
         latestDeadlineUs = Math.min(latestDeadlineUs, latestUs);
     }
 
+    /** The ids of requests, which all processes of this scheduler share. */
+    public UpgradeCoordinator.SharedMemoryUser requestIds() {
+        return requestIds;
+    }
+
     /** The memory that all clients' requests hold. */
     SharedBufferLimit<ClientConnection> requestMemory() {
         return requestMemory;
--- a/src/test/java/damsonslip/platform/client/RequestIdsTest.java
+++ b/src/test/java/damsonslip/platform/client/RequestIdsTest.java
@@ -18,8 +18,14 @@
     /** More requests than a scheduler can have open, and than arrive within a deadline. */
     private static final int LATEST = 8_000;
 
-    private final ByteBuffer table = ByteBuffer.allocateDirect(RequestIds.TABLE_BYTES);
-    private final RequestIds ids = new RequestIds(table);
+    private final RequestIds ids = new RequestIds();
+    private final ByteBuffer memory = ByteBuffer.allocateDirect(ids.bytes());
+
+    private RequestIds sharing() {
+        RequestIds other = new RequestIds();
+        other.share(memory.duplicate());
+        return other;
+    }
 
     @Test
     void claimsEachIdOnce() {
@@ -43,12 +49,22 @@
 
     /** Two processes map the same memory. */
     @Test
-    void isSharedByAllWhoUseTheSameMemory() {
-        RequestIds other = new RequestIds(table.duplicate());
+    void sharesIdsWithOtherProcesses() {
+        assertTrue(ids.claim("before"));
+        ids.share(memory);
+        RequestIds other = sharing();
         assertTrue(ids.claim("q1"));
         assertFalse(other.claim("q1"));
         assertTrue(other.claim("q2"));
         assertFalse(ids.claim("q2"));
+        assertFalse(other.claim("before"));
+    }
+
+    /** The memory outlives the processes, so that a restart forgets nothing either. */
+    @Test
+    void knowsIdsOfProcessesThatHaveEnded() {
+        assertTrue(sharing().claim("q1"));
+        assertFalse(sharing().claim("q1"));
     }
 
     @Test
@@ -60,7 +76,7 @@
         int[] successes = new int[rounds];
         List<Future<?>> running = new ArrayList<>();
         for (int i = 0; i < claimers; i++) {
-            RequestIds own = new RequestIds(table.duplicate());
+            RequestIds own = sharing();
             running.add(
                     threads.submit(
                             () -> {
