--- a/src/test/java/damsonslip/platform/UpgradeTest.java
+++ b/src/test/java/damsonslip/platform/UpgradeTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import damsonslip.testkit.DeployFile;
 import damsonslip.testkit.Peer;
 import damsonslip.testkit.Peer.Message;
 import damsonslip.testkit.Program;
@@ -104,21 +105,13 @@
     }
 
     /**
-     * The smallest machine has 144 MB; each process gets half of it, with the memory limits in the
-     * `run` line of the deployment file.
+     * The smallest machine has 144 MB; each process gets half of it, with the JVM's flags in the
+     * `run` line of the deployment file, which has to state every amount of memory that differs
+     * from one kind of machine to another.
      */
     @Test
     void anUpgradeUnderLoadFitsOnTheSmallestMachine() throws Exception {
-        String run =
-                Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-                        .filter(line -> line.startsWith("run = "))
-                        .findFirst()
-                        .orElseThrow();
-        upgradeUnderLoad(
-                List.of(run.split("[ \"]")).stream()
-                        .filter(word -> word.matches("-X(m|ss|X:Res|X:MaxM).*"))
-                        .toList(),
-                72 * 1024);
+        upgradeUnderLoad(DeployFile.jvmFlags(), 72 * 1024);
     }
 
     private void upgradeUnderLoad(List<String> jvmFlags, int dataLimitKb) throws Exception {
