Every command that was read gets its reply before the process ends

Cause: the Faktory front ended the process as soon as no awaited job was open. A job ends before the reply to its worker's report, which is written in a later task, after the store's thread; if the report is handled slowly, the check is due in between. Other commands did not count: FETCHes that wait, reports that wait for the recovery, commands behind one that waits for the store. Nor did anything wait for what the second address and the console had read.

Change: FaktoryShutdown closes each connection once all commands that have arrived are replied to, accepts those in the accept queue, and ends the process when none is open, 2 s after the last awaited job at the most. FETCHes and reports for the recovery are answered at once then. EventLoopConnection.closeOnceIdle and LimitedAcceptor.closeConnections do that for the console and the second address as well, whose responses OperatorPorts waits for, up to 1 s.

--- a/src/main/java/damsonslip/admin/console/ConsoleConnection.java
+++ b/src/main/java/damsonslip/admin/console/ConsoleConnection.java
@@ -44,7 +44,7 @@
 
     @Override
     protected void opened() {
-        server.opened(this);
+        server.connectionOpened(this);
     }
 
     @Override
@@ -71,9 +71,15 @@
             server.execute(line, this::answer);
         } else {
             resumeReading();
+            requestAnswered();
         }
     }
 
+    @Override
+    protected boolean hasOpenRequest() {
+        return answering;
+    }
+
     private void answer(String text) {
         String answer = text.stripTrailing() + "\n" + END_OF_ANSWER + "\n";
         write(
@@ -102,6 +108,6 @@
     @Override
     protected void connectionClosed() {
         readRate.end();
-        server.closed(this);
+        server.connectionClosed(this);
     }
 }
--- a/src/main/java/damsonslip/admin/console/ConsoleServer.java
+++ b/src/main/java/damsonslip/admin/console/ConsoleServer.java
@@ -9,14 +9,14 @@
 import damsonslip.engine.Frontend;
 import damsonslip.engine.SlowPeer;
 import damsonslip.transport.Address;
+import damsonslip.transport.ConnectionLimiter;
 import damsonslip.transport.ConnectionManager;
 import damsonslip.transport.EventLoopConnection;
+import damsonslip.transport.LimitedAcceptor;
 import java.io.IOException;
-import java.util.LinkedHashSet;
+import java.util.Comparator;
 import java.util.Locale;
 import java.util.Objects;
-import java.util.Set;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import org.eclipse.jetty.io.EndPoint;
@@ -27,7 +27,7 @@
  * Executes the commands of the operators' console inside the scheduler. Created only if a console
  * address is configured.
  */
-public final class ConsoleServer implements ConnectionManager.ConnectionAcceptor {
+public final class ConsoleServer extends LimitedAcceptor<ConsoleConnection> {
     private static final Logger LOG = LoggerFactory.getLogger(ConsoleServer.class);
     private static final int MAX_CONNECTIONS = 8;
     private static final long CONNECT_TIMEOUT_MS = 1_000;
@@ -36,11 +36,15 @@
     private final Counters counters;
     private final ConsoleTables tables;
     private final Operations operations;
-    private final AtomicInteger openCount = new AtomicInteger();
-    private final Set<ConsoleConnection> connections = new LinkedHashSet<>();
 
     /** Creates a server that does not listen yet. */
     public ConsoleServer(EventLoop loop, Counters counters, Frontend front, Operations operations) {
+        super(
+                new ConnectionLimiter<>(
+                        MAX_CONNECTIONS,
+                        0,
+                        connection -> false,
+                        Comparator.comparing(ConsoleConnection::hasOpenRequest)));
         this.loop = loop;
         this.counters = counters;
         this.tables = new ConsoleTables(loop, counters, front, operations);
@@ -60,15 +64,10 @@
         }
     }
 
+    /** Consoles above the limit are accepted and closed at once, so that they do not wait. */
     @Override
-    public boolean admit() {
-        return openCount.getAndUpdate(count -> count < MAX_CONNECTIONS ? count + 1 : count)
-                < MAX_CONNECTIONS;
-    }
-
-    @Override
-    public void admissionFailed() {
-        openCount.decrementAndGet();
+    public boolean hasCapacity() {
+        return true;
     }
 
     @Override
@@ -76,15 +75,6 @@
         return new ConsoleConnection(endPoint, this);
     }
 
-    void opened(ConsoleConnection connection) {
-        connections.add(connection);
-    }
-
-    void closed(ConsoleConnection connection) {
-        connections.remove(connection);
-        openCount.decrementAndGet();
-    }
-
     void slowReaderClosed() {
         counters.add(Count.SLOW_READERS_LET_GO);
         LOG.warn("a console reads nothing of its answer and is let go");
@@ -134,6 +124,8 @@
     }
 
     private Stream<SlowPeer> slowConsoles() {
-        return connections.stream().map(ConsoleConnection::slowPeer).filter(Objects::nonNull);
+        return limiter().connections().stream()
+                .map(ConsoleConnection::slowPeer)
+                .filter(Objects::nonNull);
     }
 }
--- a/src/main/java/damsonslip/admin/management/ManagementConnection.java
+++ b/src/main/java/damsonslip/admin/management/ManagementConnection.java
@@ -79,8 +79,8 @@
         }
     }
 
-    /** Whether a complete request was received and has not been responded to yet. */
-    boolean awaitsResponse() {
+    @Override
+    protected boolean hasOpenRequest() {
         return requestEnded && !responded;
     }
 
--- a/src/main/java/damsonslip/admin/management/ManagementServer.java
+++ b/src/main/java/damsonslip/admin/management/ManagementServer.java
@@ -49,7 +49,7 @@
                 new ConnectionLimiter<>(
                         MAX_CONNECTIONS,
                         OVERFLOW,
-                        connection -> !connection.awaitsResponse(),
+                        connection -> !connection.hasOpenRequest(),
                         ManagementConnection::evictionOrder));
         this.loop = loop;
     }
--- a/src/main/java/damsonslip/cli/ServeCommand.java
+++ b/src/main/java/damsonslip/cli/ServeCommand.java
@@ -35,6 +35,7 @@
     private final EventLoop loop = new EventLoop();
     private final LifecyclePhase phase = new LifecyclePhase();
     private final Counters counters = new Counters();
+    private final OperatorPorts operatorPorts = new OperatorPorts(loop);
     private Thread shutdownHook;
 
     /** A front with the addresses for operators from its configuration. */
@@ -99,12 +100,14 @@
         if (!configured.managementAddress().isBlank()) {
             // before clients connect, since an address in use ends the program
             management.listen(configured.managementAddress());
+            operatorPorts.add(management);
         }
         front.start();
         Operations operations = new Operations(phase, counters, front, configured.overrides());
         if (!configured.consoleAddress().isBlank()) {
-            new ConsoleServer(loop, counters, front, operations)
-                    .listen(configured.consoleAddress());
+            ConsoleServer console = new ConsoleServer(loop, counters, front, operations);
+            console.listen(configured.consoleAddress());
+            operatorPorts.add(console);
         }
         reloadSignal.onReload(front::reload);
         // last, since an operator may send any signal once the scheduler reports that it is ready
@@ -127,6 +130,7 @@
         front.shutDown();
         try {
             phase.await(State.ENDED, MAX_SHUTDOWN_MS);
+            operatorPorts.close();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/main/java/damsonslip/faktory/CommandRouter.java
+++ b/src/main/java/damsonslip/faktory/CommandRouter.java
@@ -37,6 +37,11 @@
         reports.recoveryCompleted();
     }
 
+    /** Replies to the reports that wait for the recovery, since the server shuts down. */
+    void stopWaitingForRecovery() {
+        reports.rejectEarlyReports();
+    }
+
     @Override
     public void visit(Command.Hello hello, FaktoryConnection connection) {
         connection.reply(Reply.error(CommandError.error("HELLO was said already")));
--- a/src/main/java/damsonslip/faktory/Consumers.java
+++ b/src/main/java/damsonslip/faktory/Consumers.java
@@ -8,7 +8,10 @@
 import damsonslip.faktory.codec.Reply;
 import damsonslip.policy.api.AttemptOutcome;
 import damsonslip.policy.api.ProbeResult;
+import java.util.Collection;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The worker side of the Faktory frontend: matches the attempts that the scheduling policy places
@@ -31,6 +34,11 @@
     private final Reservations reservations;
     private final JobDispatcher dispatcher;
 
+    /** The FETCH commands that cannot get a job, since their workers are draining. */
+    private final Set<PendingFetch> unserved = new HashSet<>();
+
+    private boolean isStopped;
+
     Consumers(
             EventLoop loop,
             SchedulerEngine engine,
@@ -54,26 +62,42 @@
             connection.reply(Reply.error(CommandError.error(message)));
             return;
         }
+        if (isStopped) {
+            connection.reply(Reply.nullBulk());
+            return;
+        }
+        PendingFetch fetch = new PendingFetch(connection, queues, loop.nowUs());
         if (!worker.isRunning()) {
-            loop.scheduleAfter(FETCH_TIMEOUT_US, () -> connection.reply(Reply.nullBulk()));
+            addPending(fetch, unserved);
             return;
         }
         worker.recordFetch(queues, registry.maxQueuesOfWorker(), loop.nowUs());
-        PendingFetch fetch = new PendingFetch(connection, queues, loop.nowUs());
-        fetch.setTimeout(loop.scheduleAfter(FETCH_TIMEOUT_US, () -> timeOut(worker, fetch)));
-        worker.pendingFetches.add(fetch);
+        addPending(fetch, worker.pendingFetches);
         if (!reservePlacedAttempt(worker)) {
             engine.probeEnded(worker.wid, ProbeResult.HEALTHY, worker.loadReportWithCapacity());
             dispatcher.dispatchSoon();
         }
     }
 
-    private static void timeOut(Worker worker, PendingFetch fetch) {
-        if (worker.pendingFetches.remove(fetch)) {
-            fetch.connection().reply(Reply.nullBulk());
+    private void addPending(PendingFetch fetch, Collection<PendingFetch> pending) {
+        fetch.setTimeout(loop.scheduleAfter(FETCH_TIMEOUT_US, () -> timeOut(fetch, pending)));
+        pending.add(fetch);
+    }
+
+    private static void timeOut(PendingFetch fetch, Collection<PendingFetch> pending) {
+        if (pending.remove(fetch)) {
+            fetch.replyWithoutJob();
         }
     }
 
+    /** Replies to every FETCH without a job, to those that wait and to later ones. */
+    void stopFetches() {
+        isStopped = true;
+        registry.all().forEach(WorkerRegistry::endPendingFetches);
+        unserved.forEach(PendingFetch::replyWithoutJob);
+        unserved.clear();
+    }
+
     /**
      * Reserves the first placed attempt that a pending FETCH accepts; returns whether there was
      * one.
--- a/src/main/java/damsonslip/faktory/Faktory.java
+++ b/src/main/java/damsonslip/faktory/Faktory.java
@@ -5,7 +5,6 @@
 import damsonslip.engine.Counters.Count;
 import damsonslip.engine.EventLoop;
 import damsonslip.engine.Frontend;
-import damsonslip.engine.GracefulShutdown;
 import damsonslip.engine.LifecyclePhase;
 import damsonslip.engine.LifecyclePhase.State;
 import damsonslip.engine.SchedulerEngine;
@@ -21,11 +20,11 @@
 import damsonslip.transport.ConnectionMemory;
 import damsonslip.transport.EventLoopConnection;
 import damsonslip.transport.LimitedAcceptor;
+import damsonslip.transport.ListeningPort;
 import damsonslip.transport.datarate.BufferBudget;
 import damsonslip.transport.datarate.HeapShare;
 import damsonslip.transport.datarate.MinimumDataRate;
 import damsonslip.transport.datarate.SharedBufferLimit;
-import java.io.Closeable;
 import java.io.IOException;
 import java.security.SecureRandom;
 import java.util.Comparator;
@@ -42,9 +41,6 @@
 public final class Faktory extends LimitedAcceptor<FaktoryConnection> implements Frontend {
     private static final Logger LOG = LoggerFactory.getLogger(Faktory.class);
 
-    /** How long connections are still accepted during a graceful shutdown. */
-    private static final long SHUTDOWN_ACCEPT_US = 300_000;
-
     private static final long CONNECT_TIMEOUT_MS = 250;
 
     /**
@@ -71,7 +67,7 @@
     private final SharedBufferLimit<FaktoryConnection> commandMemory =
             SharedBufferLimit.of(HeapShare.COMMANDS);
 
-    private volatile Closeable listener;
+    private volatile ListeningPort listener;
 
     /**
      * Creates the frontend; {@link #start} starts listening.
@@ -162,11 +158,7 @@
         }
     }
 
-    /**
-     * Starts a graceful shutdown, which waits only for awaited jobs (those whose client waits for
-     * the result). Other jobs stay in the store for the next start: those not handed out yet, and
-     * those that workers are running, whose reports may arrive after the restart.
-     */
+    /** Starts a graceful shutdown; see {@link FaktoryShutdown}. */
     @Override
     public void shutDown() {
         if (listener == null) { // not listening yet, so there are no connections
@@ -182,33 +174,37 @@
                         .mapToLong(Long::longValue)
                         .max()
                         .orElse(0);
-        GracefulShutdown shutdown =
-                new GracefulShutdown(
+        new FaktoryShutdown(
                         loop,
                         phase,
-                        SHUTDOWN_ACCEPT_US,
                         longestDeadlineUs,
-                        () -> false,
-                        this::closeListener,
-                        this::isIdle);
-        shutdown.start();
+                        this::hasAwaitedJobs,
+                        new ClosingConnections(),
+                        listener)
+                .begin();
     }
 
     /**
-     * Whether no awaited job is open. With a persistent store, only those handed out count, since
+     * Whether an awaited job is open. With a persistent store, only those handed out count, since
      * the store retains the others.
      */
-    private boolean isIdle() {
+    private boolean hasAwaitedJobs() {
         return config.hasPersistentStore()
-                ? services.reservations().awaitedCount() == 0
-                : services.coordinator().dispatcher().awaitedCount() == 0;
+                ? services.reservations().awaitedCount() > 0
+                : services.coordinator().dispatcher().awaitedCount() > 0;
     }
 
-    private void closeListener() {
-        try {
-            listener.close();
-        } catch (IOException e) {
-            LOG.warn("event=listener_close_failed", e);
+    private final class ClosingConnections implements FaktoryShutdown.Connections {
+        @Override
+        public void closeOnceIdle() {
+            services.consumers().stopFetches();
+            router.stopWaitingForRecovery();
+            closeConnections();
+        }
+
+        @Override
+        public boolean isEmpty() {
+            return limiter().isEmpty();
         }
     }
 
--- a/src/main/java/damsonslip/faktory/FaktoryConnection.java
+++ b/src/main/java/damsonslip/faktory/FaktoryConnection.java
@@ -298,6 +298,12 @@
             releaseAccepted();
             resumeReading();
         }
+        requestAnswered();
+    }
+
+    @Override
+    protected boolean hasOpenRequest() {
+        return commandInProgress || !pendingLines.isEmpty();
     }
 
     private void handleHello(Command command) throws MalformedCommandException {
--- a/src/main/java/damsonslip/faktory/PendingFetch.java
+++ b/src/main/java/damsonslip/faktory/PendingFetch.java
@@ -1,6 +1,7 @@
 package damsonslip.faktory;
 
 import damsonslip.engine.EventLoop;
+import damsonslip.faktory.codec.Reply;
 import java.util.List;
 
 /** A FETCH that is waiting for a job. Confined to the event loop. */
@@ -43,6 +44,12 @@
         timeout.cancel();
     }
 
+    /** Replies that there is no job. */
+    void replyWithoutJob() {
+        cancelTimeout();
+        connection.reply(Reply.nullBulk());
+    }
+
     /** Whether a job of this queue can be sent in reply to it. */
     boolean accepts(String queue) {
         return queues.contains(queue) && !connection.isClosed();
--- a/src/main/java/damsonslip/faktory/ReportHandler.java
+++ b/src/main/java/damsonslip/faktory/ReportHandler.java
@@ -39,9 +39,17 @@
     private final Counters counters;
 
     /** The reports received before the recovery was complete. */
-    private final List<Runnable> earlyReports = new ArrayList<>();
+    private final List<Report> earlyReports = new ArrayList<>();
 
     private boolean recovered;
+    private boolean rejectsEarlyReports;
+
+    /**
+     * What a worker tells of a job.
+     *
+     * @param failure how the run failed; null if it succeeded
+     */
+    private record Report(FaktoryConnection connection, String jid, RunFailure failure) {}
 
     ReportHandler(Reservations reservations, LateReports lateReports, Counters counters) {
         this.reservations = reservations;
@@ -50,7 +58,7 @@
     }
 
     void acknowledge(FaktoryConnection connection, Command.Ack ack) {
-        report(connection, ack.jid(), null);
+        handle(new Report(connection, ack.jid(), null));
     }
 
     void fail(FaktoryConnection connection, Command.Fail fail) {
@@ -59,44 +67,50 @@
                         truncate(fail.type(), MAX_ERROR_TYPE_CHARACTERS),
                         truncate(fail.message(), MAX_ERROR_MESSAGE_CHARACTERS),
                         fail.backtrace());
-        report(connection, fail.jid(), failure);
+        handle(new Report(connection, fail.jid(), failure));
     }
 
     private static String truncate(String text, int maxCharacters) {
         return text.length() <= maxCharacters ? text : text.substring(0, maxCharacters);
     }
 
-    /**
-     * Handles a report.
-     *
-     * @param failure how the run failed; null if it succeeded
-     */
-    private void report(FaktoryConnection connection, String jid, RunFailure failure) {
-        if (connection.worker() == null) {
-            connection.reply(Reply.error(NOT_A_WORKER));
+    private void handle(Report report) {
+        if (report.connection.worker() == null) {
+            report.connection.reply(Reply.error(NOT_A_WORKER));
         } else if (recovered) {
-            reportNow(connection, jid, failure);
-        } else if (earlyReports.size() < MAX_EARLY_REPORTS) {
-            earlyReports.add(() -> reportNow(connection, jid, failure));
+            handleNow(report);
+        } else if (!rejectsEarlyReports && earlyReports.size() < MAX_EARLY_REPORTS) {
+            earlyReports.add(report);
         } else {
-            connection.reply(Reply.error(RECOVERING));
+            reject(report);
         }
     }
 
-    private void reportNow(FaktoryConnection connection, String jid, RunFailure failure) {
-        Worker worker = connection.worker();
-        CommandCallback callback = CommandCallback.replyTo(connection);
-        if (!reservations.report(worker, jid, failure, callback)
-                && !lateReports.report(worker.wid, jid, failure, callback)) {
+    private void handleNow(Report report) {
+        Worker worker = report.connection.worker();
+        CommandCallback callback = CommandCallback.replyTo(report.connection);
+        if (!reservations.report(worker, report.jid, report.failure, callback)
+                && !lateReports.report(worker.wid, report.jid, report.failure, callback)) {
             counters.add(Count.WORDS_LATE);
-            connection.reply(Reply.ok());
+            report.connection.reply(Reply.ok());
         }
     }
 
+    private static void reject(Report report) {
+        report.connection.reply(Reply.error(RECOVERING));
+    }
+
     /** Called once the recovery is complete; handles the reports that were queued until then. */
     void recoveryCompleted() {
         recovered = true;
-        earlyReports.forEach(Runnable::run);
+        earlyReports.forEach(this::handleNow);
+        earlyReports.clear();
+    }
+
+    /** Rejects the reports that wait for the recovery, and further ones until it is complete. */
+    void rejectEarlyReports() {
+        rejectsEarlyReports = true;
+        earlyReports.forEach(ReportHandler::reject);
         earlyReports.clear();
     }
 }
--- a/src/main/java/damsonslip/faktory/WorkerRegistry.java
+++ b/src/main/java/damsonslip/faktory/WorkerRegistry.java
@@ -205,11 +205,10 @@
                         engine.attemptEnded(attempt, Attempt.Completion.of(AttemptOutcome.FULL)));
     }
 
-    private static void endPendingFetches(Worker worker) {
+    /** Replies to the pending fetches of a worker without a job. */
+    static void endPendingFetches(Worker worker) {
         while (!worker.pendingFetches.isEmpty()) {
-            PendingFetch fetch = worker.pendingFetches.poll();
-            fetch.cancelTimeout();
-            fetch.connection().reply(Reply.nullBulk());
+            worker.pendingFetches.poll().replyWithoutJob();
         }
     }
 
--- a/src/main/java/damsonslip/transport/ConnectionManager.java
+++ b/src/main/java/damsonslip/transport/ConnectionManager.java
@@ -146,7 +146,7 @@
      *
      * @throws IOException if the address is not available
      */
-    public Closeable listen(InetSocketAddress address, ConnectionAcceptor acceptor)
+    public ListeningPort listen(InetSocketAddress address, ConnectionAcceptor acceptor)
             throws IOException {
         return DescriptorShortage.retryWhileShort(() -> listenOnPort(address, acceptor, false));
     }
--- a/src/main/java/damsonslip/transport/EventLoopConnection.java
+++ b/src/main/java/damsonslip/transport/EventLoopConnection.java
@@ -38,6 +38,7 @@
     private ConnectionState state = ConnectionState.OPEN;
     private boolean lingered;
     private boolean closedByPeer;
+    private boolean closesOnceIdle;
 
     /** Bytes read plus messages written; shows whether a check has found anything to do. */
     private long progress;
@@ -92,6 +93,11 @@
     /** Called when the connection is closed by either side. */
     protected void connectionClosed() {}
 
+    /** Whether a complete request was received whose response is not written yet. */
+    protected boolean hasOpenRequest() {
+        return false;
+    }
+
     final ConnectionState state() {
         return state;
     }
@@ -191,6 +197,30 @@
         closeAfterWrites();
     }
 
+    /**
+     * Closes the connection gracefully as soon as every request that has arrived is answered; the
+     * subclass reports that by {@link #requestAnswered}. Takes effect in a later task of the loop.
+     */
+    public final void closeOnceIdle() {
+        closesOnceIdle = true;
+        loop.execute(this::requestAnswered);
+    }
+
+    /** To be called when {@link #hasOpenRequest} may have become false. */
+    protected final void requestAnswered() {
+        if (closesOnceIdle && state == ConnectionState.OPEN) {
+            readAvailable();
+            if (state == ConnectionState.OPEN && !hasOpenRequest()) {
+                closeGracefully();
+            }
+        }
+    }
+
+    /** Whether an end of the process would lose a response now. */
+    final boolean owesResponse() {
+        return !isClosed() && (hasOpenRequest() || writes.isWriting());
+    }
+
     /** Writes in order; runs the callback once the last byte has been passed to the kernel. */
     protected final void write(Runnable written, ByteBuffer... bytes) {
         if (!isClosed()) {
--- a/src/test/java/damsonslip/testkit/FaktoryServer.java
+++ b/src/test/java/damsonslip/testkit/FaktoryServer.java
@@ -5,6 +5,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 
 /**
  * The real program as a Faktory server: started with the operators' own file, in which a test's
@@ -77,6 +78,14 @@
         return program;
     }
 
+    /** As {@link #start()}, with additional environment variables. */
+    public Program start(Map<String, String> environment) throws IOException {
+        program =
+                startRecovery(port, "school-desk", environment, List.of())
+                        .awaitOutput("taken up from the store");
+        return program;
+    }
+
     /** Starts one more scheduler, of another name, on another port, with the same store. */
     public Program start(int at, String name) throws IOException {
         return start(at, name, List.of());
@@ -84,16 +93,20 @@
 
     /** As {@link #start(int, String)}, with additional JVM options. */
     public Program start(int at, String name, List<String> jvmOptions) throws IOException {
-        return startRecovery(at, name, jvmOptions).awaitOutput("taken up from the store");
+        return startRecovery(at, name, Map.of(), jvmOptions).awaitOutput("taken up from the store");
     }
 
     /** Starts the program, and does not wait for its recovery from the store. */
     public Program startRecovery() throws IOException {
-        program = startRecovery(port, "school-desk", List.of()).awaitOutput("event=started");
+        program =
+                startRecovery(port, "school-desk", Map.of(), List.of())
+                        .awaitOutput("event=started");
         return program;
     }
 
-    private Program startRecovery(int at, String name, List<String> jvmOptions) throws IOException {
+    private Program startRecovery(
+            int at, String name, Map<String, String> environment, List<String> jvmOptions)
+            throws IOException {
         String text = replace(settings(at, store, replacements), "127.0.0.1:7420", "");
         text =
                 replace(
@@ -101,7 +114,8 @@
                         "\"school-desk\"",
                         "\"" + name + "\"");
         Program started =
-                new Program(null, jvmOptions, "serve", Program.file(dir, text).toString());
+                new Program(
+                        null, environment, jvmOptions, "serve", Program.file(dir, text).toString());
         return closing(started);
     }
 
