The copy of an ended job is in the store before its report is acknowledged

Seen: StoredJobsFormTest failed in one of several runs: the entry of an ended job was missing in the store. Callers saw nothing; after a kill at that moment and a loss of the store's data the job could have run again.

Cause: JobLifecycle submitted the job's record first and the copy for EndedJobs behind it. The store may execute the two in different round trips, and the reply follows the first.

Change: the copy is submitted first. The store executes in the order of submission.

Result: LostStoreDataTest#endedJobIsInTheCopyOnceItsReportIsAcknowledged failed before, 3 of 3 (at the second to fourth job), and passes; StoredJobsFormTest 7 of 7.

--- a/src/main/java/damsonslip/faktory/JobLifecycle.java
+++ b/src/main/java/damsonslip/faktory/JobLifecycle.java
@@ -103,11 +103,11 @@
     }
 
     private void record(JobEntry entry, JobRecord next, CommandCallback callback) {
-        store.write(next, callback::succeeded, () -> callback.failed(NOT_RECORDED));
         boolean ended = next.state().isFinal() && next.state() != JobRecord.State.REJECTED;
         if (ended && mustNotRunTwice(entry.jobClass())) {
-            endedJobs.add(next.id());
+            endedJobs.add(next.id()); // stored before the callback reports the end
         }
+        store.write(next, callback::succeeded, () -> callback.failed(NOT_RECORDED));
     }
 
     /** Whether jobs of this class may not simply be run again. */
--- a/src/test/java/damsonslip/faktory/LostStoreDataTest.java
+++ b/src/test/java/damsonslip/faktory/LostStoreDataTest.java
@@ -28,6 +28,7 @@
             "{\"description\":\"d\",\"success\":{\"jobtype\":\"t\",\"args\":[]}}";
 
     private static final int LOST_JOBS = 60;
+    private static final int ENDED_JOBS = 40;
 
     LostStoreDataTest() {
         super(NO_PASSWORD);
@@ -71,6 +72,23 @@
         run(worker, "job-00002");
     }
 
+    /** A kill after the reply left the store without a copy of what the process remembered. */
+    @Test
+    void endedJobIsInTheCopyOnceItsReportIsAcknowledged() throws Exception {
+        FaktoryPeer producer = producer();
+        FaktoryPeer worker = worker("w1");
+        for (int i = 1; i <= ENDED_JOBS; i++) {
+            String jid = "job-1000" + i;
+            push(producer, jid, ONCE);
+            run(worker, jid);
+            long inCopy =
+                    redis.entries().stream()
+                            .filter(entry -> entry.get(1).contains(":ended:"))
+                            .count();
+            assertEquals(i, inCopy);
+        }
+    }
+
     /** The next process knows only what the store says, which has to be put right before. */
     @Test
     void endedJobsAreKnownAfterRestartToo() throws Exception {
