PlatformWireTest gives each of its schedulers a directory of its own

Cause: the test starts five schedulers, one after the other, in one $TMPDIR, and sends q1 to each. $TMPDIR is private to a scheduler and empty at its start (DEPLOY). Since the ids of requests are kept there over a restart, the second one answers 409, which is right for a restart of one scheduler.

Change: a directory for each. What is recorded, and the comparison, are unchanged.

--- a/src/test/java/damsonslip/compatibility/PlatformWireTest.java
+++ b/src/test/java/damsonslip/compatibility/PlatformWireTest.java
@@ -5,6 +5,7 @@
 import damsonslip.testkit.Peer;
 import damsonslip.testkit.Program;
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -161,7 +162,8 @@
         failures.put("a status of 500", PlatformProgram.answeringWith("HTTP/1.1 500 No"));
         failures.put("a connection that ends", (peer, request) -> peer.close());
         for (Map.Entry<String, PlatformProgram.RequestHandler> failure : failures.entrySet()) {
-            try (PlatformProgram each = new PlatformProgram(dir)) {
+            Path ownDirectory = Files.createTempDirectory(dir, "scheduler");
+            try (PlatformProgram each = new PlatformProgram(ownDirectory)) {
                 each.addWorker("a", failure.getValue()).start(UNCHANGED).awaitList();
                 recording.add(failure.getKey(), each.send(request("q1", "submit")));
             }
