A worker is published once if the store has no earlier start of it

Cause: WorkerRegistry.lookUpStart compared the store's milliseconds with microseconds, so that every worker seemed to have started before, unless its start fell on a whole millisecond.

Change: milliseconds are compared.

--- a/src/main/java/damsonslip/faktory/WorkerRegistry.java
+++ b/src/main/java/damsonslip/faktory/WorkerRegistry.java
@@ -123,7 +123,7 @@
         store.submit(
                 new StoreOperation.RecordFirstSeen(id, worker.startedUs / 1000),
                 firstSeenMs -> {
-                    if (firstSeenMs * 1000 < worker.startedUs) {
+                    if (firstSeenMs < worker.startedUs / 1000) {
                         worker.startedUs = firstSeenMs * 1000;
                         publish(worker);
                     }
