--- a/src/test/java/damsonslip/faktory/StoreFailureTest.java
+++ b/src/test/java/damsonslip/faktory/StoreFailureTest.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -30,6 +31,9 @@
     /** The time until pushes whose reply was lost are deleted from the store. */
     private static final long CLEANUP_MS = 1_200;
 
+    /** Several times the interval at which the store is checked. */
+    private static final long AFTER_OUTAGE_MS = 10_000;
+
     /** During an outage of five seconds, pushes get an error, and no acknowledged job is lost. */
     @ParameterizedTest
     @ValueSource(strings = {"stalls", "fails"})
@@ -126,4 +130,20 @@
         assertNull(worker.fetch("q", 0));
         assertEquals(again ? "success" : "unknown", producer.state("job-00001"));
     }
+
+    /**
+     * Guards against a store that counts as down for ever: the only call that failed in the outage
+     * was one that is attempted once, and nobody made another one.
+     */
+    @Test
+    void handsOutWaitingJobsAfterOutageInWhichOnlyHelloFailed() throws Exception {
+        FaktoryPeer producer = producer();
+        assertEquals("+OK", producer.plain("job-00001", ",\"queue\":\"q\""));
+        redis.down();
+        FaktoryPeer worker = peer("w1");
+        assertNull(worker.fetch("q", 1), "the store is down");
+        redis.up();
+        assertEquals("job-00001", worker.fetch("q", AFTER_OUTAGE_MS));
+        assertEquals("+OK", worker.ack("job-00001"));
+    }
 }
