SharedMemoryTest: bulk pushes all come while the store hangs, however slow the sender

The loop was idle and the server answered all the time, with "too many jobs wait here". Beside load the test's sending took longer than the store's stall of 1.5 s, so jobs were taken until the table's limit was reached, and the test's own job could not be taken any more. A fault of the test.

--- a/src/test/java/damsonslip/faktory/SharedMemoryTest.java
+++ b/src/test/java/damsonslip/faktory/SharedMemoryTest.java
@@ -98,8 +98,8 @@
         for (int i = 0; i < BAD_PEERS; i++) {
             producers.add(server.peer(""));
         }
-        redis.stall(STALL_MS);
         for (int i = 0; i < BAD_PEERS; i++) {
+            redis.stall(STALL_MS); // anew, so that it hangs until all have sent
             int jobs = i % 2 == 0 ? BULK_JOBS : LARGE_BULK_JOBS;
             sendUnlessClosed(producers.get(i), bulkPush(i, jobs));
         }
@@ -116,8 +116,10 @@
                 .collect(Collectors.joining(",", "PUSHB [", "]\r\n"));
     }
 
+    /** Makes room first, since jobs that were taken after the stall may fill the table. */
     private boolean serves() {
-        try {
+        try (FaktoryPeer operator = server.peer("")) {
+            assertEquals("+OK", operator.call("FLUSH"));
             assertServes();
             return true;
         } catch (IOException | AssertionError e) {
